--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+MODULES := core shell entry control ctl standin bench
+LINT_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
+
+.PHONY: build test lint unit demo long clean
+
+# build makes every program in bin/.
+build:
+	@mkdir -p bin
+	go build -o bin/ ./entry ./control ./ctl ./standin ./bench
+
+# test passes the tests: formatter, linter, and tests with the race detector.
+test: lint unit
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+$(LINT):
+	@mkdir -p $(TOOLS)
+	GOWORK=off GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@mv $(TOOLS)/golangci-lint $@
+
+# The random tests run with a fixed seed, so that every run gives the same verdict.
+unit:
+	go test -race $(addsuffix /...,$(addprefix ./,$(MODULES))) -rapid.seed=20261204
+
+# demo runs the system on loopback and breaks a few things.
+demo: build
+	./bench/demo.sh
+
+# long runs the random tests with fresh seeds; a failure prints its seed.
+long:
+	go test -race ./core/... -run 'Random' -rapid.checks=20000 -timeout 60m
+
+clean:
+	rm -rf bin data
--- /dev/null
+++ b/bench/demo.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback, breaks a few things, and checks what callers
+# saw. Ends by itself and leaves no process.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+pids=()
+cleanup() {
+  for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
+  for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+trap cleanup EXIT
+
+start() { # start NAME COMMAND...: runs a process, its log under the name
+  local name=$1
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pids+=($!)
+  eval "pid_${name//-/_}=$!"
+}
+
+peers=(--peer c1=127.0.0.1:17101 --peer c2=127.0.0.1:17102 --peer c3=127.0.0.1:17103)
+for i in 1 2 3; do
+  start "c$i" bin/control --name "c$i" --data "$work/c$i" --listen "127.0.0.1:1710$i" --admin "127.0.0.1:1720$i" "${peers[@]}"
+done
+control=(--control 127.0.0.1:17101 --control 127.0.0.1:17102 --control 127.0.0.1:17103)
+for i in 1 2; do
+  start "e$i" bin/entry --name "e$i" --data-centre dc-1 --listen "127.0.0.1:1730$i" --admin "127.0.0.1:1740$i" --notice 1s "${control[@]}"
+done
+endpoints=(1 2 3 4 5 6)
+for i in "${endpoints[@]}"; do
+  : >"$work/runs$i"
+  start "s$i" bin/standin --service rounds --name "rounds-$i" --first "127.0.0.1:1750$i" --record "$work/runs$i" --entry 127.0.0.1:17301 --entry 127.0.0.1:17302
+done
+records=()
+for i in "${endpoints[@]}"; do records+=(--record "$work/runs$i"); done
+ctl() { bin/ctl --control 127.0.0.1:17201 --control 127.0.0.1:17202 --control 127.0.0.1:17203 "$@"; }
+
+echo "== the first configuration"
+for _ in $(seq 100); do
+  if ctl apply docs/example.json >"$work/apply" 2>&1; then break; fi
+  sleep 0.2
+done
+cat "$work/apply"
+for i in 1 2; do
+  until curl -sf -o /dev/null "127.0.0.1:1730$i/comfreyplank/ready"; do sleep 0.1; done
+done
+ctl status
+
+echo "== mixed load, while things happen"
+bin/bench load --target 127.0.0.1:17301 --target 127.0.0.1:17302 --rate 600 --once-percent 20 --duration 14s --warmup 1s \
+  "${records[@]}" --max-refused-percent 1 >"$work/load" 2>&1 &
+load=$!
+pids+=("$load")
+sleep 3
+echo "-- draining rounds-2"
+ctl drain rounds rounds-2 --wait 5s
+sleep 2
+echo "-- killing rounds-6"
+kill -9 "$pid_s6"
+sleep 2
+echo "-- killing the replica that leads"
+leader=$(ctl status | awk '$2 == "leader" {print $1; exit}')
+eval "kill -9 \$pid_$leader"
+sleep 2
+echo "-- changing the configuration"
+ctl document | sed 's/"queue-limit": 200/"queue-limit": 300/' >"$work/next.json"
+ctl apply "$work/next.json"
+echo "-- stopping entry e2 as planned"
+# Callers of e2 are moved by the platform; here its share of the load ends with it.
+status=0
+wait "$load" || status=$?
+kill -TERM "$pid_e2"
+wait "$pid_e2" || { echo "BROKEN: e2 did not stop gracefully"; status=1; }
+cat "$work/load"
+echo "== the time line, the last 40 events"
+ctl timeline | tail -40
+[ "$status" -eq 0 ] && echo "demo: every promise was kept" || echo "demo: a promise was broken"
+exit "$status"
--- /dev/null
+++ b/bench/loader/loader.go
@@ -0,0 +1,206 @@
+// Package loader sends an open-loop load: calls start when they are due, whether
+// or not earlier ones have ended, and latency counts from when a call was due.
+package loader
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+)
+
+// Plan says what is sent.
+type Plan struct {
+	// Targets are the addresses that calls go to in turn.
+	Targets []string
+	// Path is the path of repeatable calls.
+	Path string
+	// OncePath is the path of once-only calls, and OncePercent their share.
+	OncePath    string
+	OncePercent int
+	// Rate is in calls a second.
+	Rate     float64
+	Duration time.Duration
+	// Warmup is left out of the figures.
+	Warmup  time.Duration
+	Timeout time.Duration
+}
+
+// Outcome says what became of a call.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	OutcomeAnswered Outcome = iota
+	OutcomeNotRun
+	OutcomeUnknown
+	OutcomeStatus // an answer with another status
+	OutcomeBroken // the connection broke
+	OutcomeWrong  // an answer to another request, or part of one
+	outcomes
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"answered", "not-run", "unknown", "other-status", "broken", "wrong-answer"}[o]
+}
+
+// Figures are what a run measured.
+type Figures struct {
+	// Latency holds answered calls, in microseconds.
+	Latency *hdrhistogram.Histogram
+	Count   [outcomes]int64
+	// Late is how many calls started more than a millisecond after they were due.
+	Late int64
+	// Done holds the keys of once-only calls by outcome.
+	Done   []string
+	NotRun []string
+}
+
+// Quantile returns a quantile of the latency.
+func (f *Figures) Quantile(q float64) time.Duration {
+	return time.Duration(f.Latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Total returns the number of calls.
+func (f *Figures) Total() int64 {
+	var n int64
+	for _, c := range f.Count {
+		n += c
+	}
+	return n
+}
+
+const (
+	maxLatencyMicros = 60_000_000
+	significant      = 3
+	lateBound        = time.Millisecond
+	// tick groups the calls that are due close together.
+	tick = 200 * time.Microsecond
+)
+
+// Loader carries out a plan.
+type Loader struct {
+	plan   Plan
+	client *http.Client
+
+	mu      sync.Mutex
+	figures Figures
+}
+
+// New returns a loader.
+func New(p Plan) *Loader {
+	dialer := net.Dialer{Timeout: p.Timeout}
+	return &Loader{
+		plan: p,
+		client: &http.Client{
+			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4096, MaxIdleConns: 65536, DisableCompression: true},
+			Timeout:   p.Timeout,
+		},
+		figures: Figures{Latency: hdrhistogram.New(1, maxLatencyMicros, significant)},
+	}
+}
+
+// Run sends the load and returns the figures. Arrivals are random with the plan's
+// rate on average.
+func (l *Loader) Run(ctx context.Context) *Figures {
+	start := time.Now()
+	due := start
+	end := start.Add(l.plan.Warmup + l.plan.Duration)
+	var group sync.WaitGroup
+	for n := 0; due.Before(end) && ctx.Err() == nil; n++ {
+		if wait := time.Until(due); wait > tick {
+			time.Sleep(wait)
+		}
+		at := due
+		group.Go(func() { l.call(ctx, n, at, at.Sub(start) >= l.plan.Warmup) })
+		due = due.Add(time.Duration(rand.ExpFloat64() / l.plan.Rate * float64(time.Second)))
+	}
+	group.Wait()
+	return &l.figures
+}
+
+func (l *Loader) call(ctx context.Context, n int, due time.Time, counts bool) {
+	late := time.Since(due) > lateBound
+	once := n%100 < l.plan.OncePercent
+	mark := "m" + strconv.Itoa(n)
+	key := ""
+	method, path, body := http.MethodGet, l.plan.Path, ""
+	if once {
+		key = uuid.Must(uuid.NewV7()).String()
+		method, path, body = http.MethodPost, l.plan.OncePath, "b"+strconv.Itoa(n)
+	}
+	target := l.plan.Targets[n%len(l.plan.Targets)]
+	outcome := l.send(ctx, method, "http://"+target+path, body, mark, key)
+	l.note(outcome, time.Since(due), late, counts, key)
+}
+
+func (l *Loader) send(ctx context.Context, method, url, body, mark, key string) Outcome {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return OutcomeBroken
+	}
+	request.Header.Set("X-Mark", mark)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		return OutcomeBroken
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return OutcomeBroken
+	}
+	return judge(response, string(text), mark, body)
+}
+
+// judge tells whether an answer is the whole answer to the call's own request.
+func judge(response *http.Response, text, mark, body string) Outcome {
+	switch response.Header.Get("Comfreyplank-Outcome") {
+	case "not-run":
+		return OutcomeNotRun
+	case "unknown":
+		return OutcomeUnknown
+	}
+	if response.StatusCode != http.StatusOK {
+		return OutcomeStatus
+	}
+	if !strings.HasSuffix(strings.TrimRight(text, "x"), fmt.Sprintf(" %s %s\n", mark, body)) {
+		return OutcomeWrong
+	}
+	return OutcomeAnswered
+}
+
+func (l *Loader) note(o Outcome, latency time.Duration, late, counts bool, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case key == "":
+	case o == OutcomeAnswered:
+		l.figures.Done = append(l.figures.Done, key)
+	case o == OutcomeNotRun:
+		l.figures.NotRun = append(l.figures.NotRun, key)
+	}
+	if !counts {
+		return
+	}
+	l.figures.Count[o]++
+	if late {
+		l.figures.Late++
+	}
+	if o == OutcomeAnswered {
+		_ = l.figures.Latency.RecordValue(max(1, latency.Microseconds())) // within the range by the timeout
+	}
+}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,46 @@
+// Program bench measures the system: it sends loads, and compares ways to choose
+// endpoints.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// errBound is returned when a figure misses its bound.
+var errBound = errors.New("a bound was missed")
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
+	mustAdd(parser, "load", "Send an open-loop load", &loadCommand{ctx: ctx})
+	_, err := parser.Parse()
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, "bench:", usage.Message)
+		return 2
+	}
+	fmt.Fprintln(os.Stderr, "bench:", err)
+	return 1
+}
+
+func mustAdd(p *flags.Parser, name, text string, data any) {
+	if _, err := p.AddCommand(name, text, text, data); err != nil {
+		panic(err) // the commands are fixed
+	}
+}
--- /dev/null
+++ b/control/driver/driver.go
@@ -0,0 +1,355 @@
+// Package driver runs the controller machine of a replica: it hands in what
+// happens and carries out what the machine decides, with journals, streams and
+// waiting operators around it.
+package driver
+
+import (
+	"context"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreyplank.org/control/journaler"
+	"comfreyplank.org/core/controller"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
+)
+
+// retryInterval is how long a failed write waits before it is tried again.
+const retryInterval = time.Second
+
+// backlog is how many actions for a journal may wait; the machine asks for one
+// sync at a time.
+const backlog = 16
+
+// Driver runs one replica.
+type Driver struct {
+	publish  func(recorder.Event)
+	peers    *peers
+	journals map[messenger.Group]*worker
+	lock     *journaler.Lock
+	group    *sync.WaitGroup
+	failed   chan error
+
+	mu      sync.Mutex
+	machine *controller.Controller
+	// streams of entries, and operators who wait, by their numbers.
+	streams     map[controller.Conn]*Stream
+	lastStream  controller.Conn
+	applies     map[uint64]chan controller.AnswerApply
+	documents   map[uint64]chan controller.AnswerDocument
+	lastRequest uint64
+}
+
+// worker syncs what one journal is given, in order.
+type worker struct {
+	journal *journaler.Journal
+	queue   chan controller.Action
+}
+
+// Stream is the stream of one entry.
+type Stream struct {
+	Conn controller.Conn
+	// Send has the messages that wait; it is full when the entry can't keep up,
+	// and then the stream is ended.
+	Send chan messenger.ToEntry
+	End  context.CancelFunc
+}
+
+// streamBacklog is how many messages may wait on a stream.
+const streamBacklog = 4096
+
+// Option sets up a driver.
+type Option func(*options)
+
+type options struct {
+	peers   []replicator.Member
+	publish func(recorder.Event)
+}
+
+// WithPeers sets the replicas that form the system, this one included.
+func WithPeers(peers []replicator.Member) Option {
+	return func(o *options) { o.peers = peers }
+}
+
+// WithPublish sets where events go.
+func WithPublish(publish func(recorder.Event)) Option {
+	return func(o *options) { o.publish = publish }
+}
+
+// New opens the data folder and makes the machine of the replica.
+func New(group *sync.WaitGroup, folder, name, address string, opts ...Option) (*Driver, error) {
+	o := options{publish: func(recorder.Event) {}}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	lock, err := journaler.NewLock(folder)
+	if err != nil {
+		return nil, err
+	}
+	d := &Driver{
+		publish:   o.publish,
+		journals:  make(map[messenger.Group]*worker),
+		lock:      lock,
+		group:     group,
+		failed:    make(chan error, 1),
+		streams:   make(map[controller.Conn]*Stream),
+		applies:   make(map[uint64]chan controller.AnswerApply),
+		documents: make(map[uint64]chan controller.AnswerDocument),
+	}
+	disk, id, err := d.open(folder)
+	if err != nil {
+		lock.Release()
+		return nil, err
+	}
+	self := replicator.Member{ID: id, Name: name, Address: address}
+	d.machine, err = controller.New(time.Now(), self, disk, controller.WithPeers(o.peers))
+	if err != nil {
+		lock.Release()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Driver) open(folder string) (controller.Disk, replicator.ID, error) {
+	var disk controller.Disk
+	id, err := journaler.Identity(folder)
+	if err != nil {
+		return disk, "", err
+	}
+	for _, g := range messenger.Groups {
+		journal, stored, err := journaler.Open(filepath.Join(folder, g.String()))
+		if err != nil {
+			return disk, "", err
+		}
+		d.journals[g] = &worker{journal: journal, queue: make(chan controller.Action, backlog)}
+		if g == messenger.GroupClaims {
+			disk.Claims = stored
+			continue
+		}
+		disk.Config = stored
+	}
+	return disk, id, nil
+}
+
+// Run lets time pass until the context ends or a journal fails for good.
+func (d *Driver) Run(ctx context.Context) error {
+	d.mu.Lock()
+	d.peers = newPeers(ctx, d.group)
+	d.mu.Unlock()
+	var workers sync.WaitGroup
+	for _, w := range d.journals {
+		workers.Go(func() { d.work(ctx, w) })
+	}
+	ticker := time.NewTicker(controller.TickInterval)
+	defer ticker.Stop()
+	err := d.tick(ctx, ticker)
+	workers.Wait()
+	for _, w := range d.journals {
+		if closed := w.journal.Close(); err == nil {
+			err = closed
+		}
+	}
+	d.lock.Release()
+	return err
+}
+
+func (d *Driver) tick(ctx context.Context, ticker *time.Ticker) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-d.failed:
+			return err
+		case <-ticker.C:
+			d.handle(controller.Tick{})
+		}
+	}
+}
+
+func (d *Driver) handle(in controller.Input) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carryOut(d.machine.Handle(time.Now(), in))
+}
+
+func (d *Driver) carryOut(actions []controller.Action) {
+	for _, a := range actions {
+		switch v := a.(type) {
+		case controller.SendPeer:
+			d.peers.send(v.Address, v.Message)
+		case controller.SendEntry:
+			d.sendEntry(v)
+		case controller.Persist:
+			d.journals[v.Group].queue <- v
+		case controller.Store:
+			d.journals[v.Group].queue <- v
+		case controller.Found:
+			d.journals[v.Group].queue <- v
+		case controller.AnswerApply:
+			d.applies[v.Request] <- v
+			delete(d.applies, v.Request)
+		case controller.AnswerDocument:
+			d.documents[v.Request] <- v
+			delete(d.documents, v.Request)
+		case controller.Record:
+			d.publish(v.Event)
+		}
+	}
+}
+
+func (d *Driver) sendEntry(v controller.SendEntry) {
+	s, ok := d.streams[v.Conn]
+	if !ok {
+		return
+	}
+	select {
+	case s.Send <- v.Message:
+	default:
+		s.End()
+	}
+}
+
+// work syncs what comes for one journal.
+func (d *Driver) work(ctx context.Context, w *worker) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-w.queue:
+			d.sync(ctx, w, a)
+		}
+	}
+}
+
+// sync tries until the action is on the disk. Until then the replica says nothing
+// that depends on it. A sync that fails ends the process: what the disk holds is
+// not known any more.
+func (d *Driver) sync(ctx context.Context, w *worker, a controller.Action) {
+	for {
+		err := store(w.journal, a)
+		if err == nil {
+			break
+		}
+		slog.Error("the journal can't be written; nothing is accepted meanwhile", "error", err)
+		d.publish(recorder.Event{Kind: recorder.KindJournalFailed, Detail: err.Error()})
+		if errors.Is(err, journaler.ErrSync) {
+			d.fail(err)
+			return
+		}
+		if !wait(ctx, retryInterval) {
+			return
+		}
+	}
+	if p, ok := a.(controller.Persist); ok {
+		d.handle(controller.Persisted(p))
+	}
+}
+
+func store(j *journaler.Journal, a controller.Action) error {
+	switch v := a.(type) {
+	case controller.Persist:
+		return j.Persist(v.Output)
+	case controller.Store:
+		return j.Store(v.Snapshot, v.Rest)
+	case controller.Found:
+		return j.Found(v.Stored)
+	}
+	return nil
+}
+
+func (d *Driver) fail(err error) {
+	select {
+	case d.failed <- err:
+	default:
+	}
+}
+
+func wait(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
+
+// Follow opens the stream of an entry.
+func (d *Driver) Follow(end context.CancelFunc) *Stream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastStream++
+	s := &Stream{Conn: d.lastStream, Send: make(chan messenger.ToEntry, streamBacklog), End: end}
+	d.streams[s.Conn] = s
+	return s
+}
+
+// Unfollow ends the stream of an entry.
+func (d *Driver) Unfollow(s *Stream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.streams, s.Conn)
+	d.carryOut(d.machine.Handle(time.Now(), controller.EntryLost{Conn: s.Conn}))
+}
+
+// EntrySaid hands in a message of an entry.
+func (d *Driver) EntrySaid(s *Stream, m messenger.ToControl) {
+	d.handle(controller.EntrySaid{Conn: s.Conn, Message: m})
+}
+
+// PeerSaid hands in a message of another replica.
+func (d *Driver) PeerSaid(m messenger.ToPeer) { d.handle(controller.PeerSaid{Message: m}) }
+
+// Apply makes a change and waits for what becomes of it.
+func (d *Driver) Apply(ctx context.Context, document []byte) (controller.AnswerApply, error) {
+	answers := make(chan controller.AnswerApply, 1)
+	d.mu.Lock()
+	d.lastRequest++
+	d.applies[d.lastRequest] = answers
+	d.carryOut(d.machine.Handle(time.Now(), controller.Apply{Request: d.lastRequest, Document: document}))
+	d.mu.Unlock()
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-ctx.Done():
+		return controller.AnswerApply{}, ctx.Err()
+	}
+}
+
+// ReadDocument returns the configuration in force, confirmed by a majority.
+func (d *Driver) ReadDocument(ctx context.Context) (controller.AnswerDocument, error) {
+	answers := make(chan controller.AnswerDocument, 1)
+	d.mu.Lock()
+	d.lastRequest++
+	d.documents[d.lastRequest] = answers
+	d.carryOut(d.machine.Handle(time.Now(), controller.ReadDocument{Request: d.lastRequest}))
+	d.mu.Unlock()
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-ctx.Done():
+		return controller.AnswerDocument{}, ctx.Err()
+	}
+}
+
+// HandOver gives leadership away before a planned stop.
+func (d *Driver) HandOver() { d.handle(controller.HandOver{}) }
+
+// Status returns what the replica knows.
+func (d *Driver) Status() controller.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Status(time.Now())
+}
+
+// Document returns what the replica has, which may be behind.
+func (d *Driver) Document() (uint64, validator.Document) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Document()
+}
--- /dev/null
+++ b/control/driver/peers.go
@@ -0,0 +1,112 @@
+package driver
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/shell/encoder"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+const (
+	// peerBacklog is how many messages to a peer may wait; the rest is dropped, as
+	// on a network.
+	peerBacklog   = 1024
+	redialWait    = 100 * time.Millisecond
+	maxPeerBytes  = 64 << 20
+	aliveInterval = messenger.SilenceLimit / 3
+)
+
+// AliveInterval is how often a stream that has nothing to say says so.
+const AliveInterval = aliveInterval
+
+// peers keeps one outgoing stream to each replica that was ever written to.
+type peers struct {
+	ctx   context.Context //nolint:containedctx // the life of the process, for streams opened later
+	group *sync.WaitGroup
+	queue map[string]chan messenger.ToPeer
+}
+
+func newPeers(ctx context.Context, group *sync.WaitGroup) *peers {
+	return &peers{ctx: ctx, group: group, queue: make(map[string]chan messenger.ToPeer)}
+}
+
+// send hands a message to the stream of an address. It is called by one caller at
+// a time.
+func (p *peers) send(address string, m messenger.ToPeer) {
+	if p == nil || p.ctx.Err() != nil {
+		return
+	}
+	queue, ok := p.queue[address]
+	if !ok {
+		queue = make(chan messenger.ToPeer, peerBacklog)
+		p.queue[address] = queue
+		p.group.Go(func() { p.keep(address, queue) })
+	}
+	select {
+	case queue <- m:
+	default:
+	}
+}
+
+// keep opens the stream again whenever it ends.
+func (p *peers) keep(address string, queue chan messenger.ToPeer) {
+	for p.ctx.Err() == nil {
+		if err := p.exchange(address, queue); err != nil {
+			slog.Debug("stream to a replica ended", "address", address, "error", err)
+		}
+		wait(p.ctx, redialWait)
+	}
+}
+
+// exchange writes one stream until it fails, or nothing has come back for too
+// long: then the connection has gone silent, and a new one may work.
+func (p *peers) exchange(address string, queue chan messenger.ToPeer) error {
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := wire.NewControlClient(conn).Exchange(ctx)
+	if err != nil {
+		return err
+	}
+	heard := time.AfterFunc(messenger.SilenceLimit, cancel)
+	defer heard.Stop()
+	p.group.Go(func() {
+		defer cancel()
+		for {
+			if _, err := stream.Recv(); err != nil {
+				return
+			}
+			heard.Reset(messenger.SilenceLimit)
+		}
+	})
+	return write(ctx, stream, queue)
+}
+
+func write(ctx context.Context, stream wire.Control_ExchangeClient, queue chan messenger.ToPeer) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-queue:
+			encoded, err := encoder.EncodeToPeer(m)
+			if err != nil {
+				slog.Warn("message to a replica dropped", "error", err)
+				continue
+			}
+			if err := stream.Send(encoded); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/control/main.go
@@ -0,0 +1,30 @@
+// Program control is a replica that keeps the configuration and the claims on
+// once-only requests, and serves entries and operators.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"comfreyplank.org/shell/configurer"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	settings, err := parse(os.Args[1:])
+	if err != nil {
+		return configurer.Exit("control", err)
+	}
+	settings.Logging.Start(os.Stderr, "control", settings.Name)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := serve(stop, settings); err != nil {
+		slog.Error("control failed", "error", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/control/server/server.go
@@ -0,0 +1,134 @@
+// Package server serves the streams of entries and of other replicas.
+package server
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"comfreyplank.org/control/driver"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/shell/encoder"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+const maxMessageBytes = 64 << 20
+
+// Server serves the wire protocol of a replica.
+type Server struct {
+	wire.UnimplementedControlServer
+	driver *driver.Driver
+}
+
+// New returns the protocol server of a replica.
+func New(d *driver.Driver) *grpc.Server {
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes))
+	wire.RegisterControlServer(s, &Server{driver: d})
+	return s
+}
+
+// Follow serves the stream of an entry.
+func (s *Server) Follow(client wire.Control_FollowServer) error {
+	ctx, cancel := context.WithCancel(client.Context())
+	defer cancel()
+	stream := s.driver.Follow(cancel)
+	defer s.driver.Unfollow(stream)
+	var group sync.WaitGroup
+	group.Go(func() { read(ctx, cancel, client, func(m *wire.FromEntry) { s.fromEntry(stream, m) }) })
+	return s.write(ctx, stream, client)
+}
+
+// receiver is the reading half of a stream.
+type receiver[M any] interface{ Recv() (M, error) }
+
+// read hands in what comes on a stream, and ends it when nothing comes for long.
+func read[M any](ctx context.Context, cancel context.CancelFunc, stream receiver[M], take func(M)) {
+	defer cancel()
+	silence := time.AfterFunc(messenger.SilenceLimit, cancel)
+	defer silence.Stop()
+	for ctx.Err() == nil {
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		silence.Reset(messenger.SilenceLimit)
+		take(m)
+	}
+}
+
+func (s *Server) fromEntry(stream *driver.Stream, m *wire.FromEntry) {
+	if m.GetAlive() != nil {
+		return
+	}
+	message, err := encoder.DecodeToControl(m)
+	if err != nil {
+		slog.Warn("message of an entry dropped", "error", err)
+		return
+	}
+	s.driver.EntrySaid(stream, message)
+}
+
+// write sends what waits for an entry, and a sign of life when nothing does.
+func (s *Server) write(ctx context.Context, stream *driver.Stream, client wire.Control_FollowServer) error {
+	ticker := time.NewTicker(driver.AliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			alive := &wire.FromControl{Message: &wire.FromControl_Alive{Alive: &wire.Alive{}}}
+			if err := client.Send(alive); err != nil {
+				return err
+			}
+		case m := <-stream.Send:
+			if err := send(client, m); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func send(client wire.Control_FollowServer, m messenger.ToEntry) error {
+	encoded, err := encoder.EncodeToEntry(m)
+	if err != nil {
+		slog.Warn("message to an entry dropped", "error", err)
+		return nil
+	}
+	return client.Send(encoded)
+}
+
+// Exchange takes the messages of another replica, and returns signs of life.
+func (s *Server) Exchange(client wire.Control_ExchangeServer) error {
+	ctx, cancel := context.WithCancel(client.Context())
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { read(ctx, cancel, client, s.fromPeer) })
+	ticker := time.NewTicker(driver.AliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			if err := client.Send(&wire.Alive{}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *Server) fromPeer(m *wire.FromPeer) {
+	if m.GetAlive() != nil {
+		return
+	}
+	message, err := encoder.DecodeToPeer(m)
+	if err != nil {
+		slog.Warn("message of a replica dropped", "error", err)
+		return
+	}
+	s.driver.PeerSaid(message)
+}
--- /dev/null
+++ b/control/settings.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
+	"comfreyplank.org/shell/configurer"
+)
+
+const maxReplicas = 7
+
+// settings are the flags of the control program.
+type settings struct {
+	Name        string             `long:"name" env:"COMFREYPLANK_NAME" required:"true" description:"name of this replica, unique in the system; it stays when the disk is replaced"`
+	Listen      string             `long:"listen" env:"COMFREYPLANK_LISTEN" default:"127.0.0.1:7080" description:"IP address and port for entries and replicas"`
+	Admin       string             `long:"admin" env:"COMFREYPLANK_ADMIN" default:"127.0.0.1:7081" description:"IP address and port for operators and metrics"`
+	Data        string             `long:"data" env:"COMFREYPLANK_DATA" required:"true" description:"data folder, on a disk of this instance"`
+	Peers       []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
+	OperatorKey string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
+	Logging     configurer.Logging `group:"Log"`
+}
+
+func parse(args []string) (settings, error) {
+	var s settings
+	if err := configurer.Parse(&s, args, "[options]"); err != nil {
+		return s, err
+	}
+	return s, s.check()
+}
+
+func (s settings) check() error {
+	var c configurer.Checker
+	c.Name("name", s.Name)
+	c.Address("listen", s.Listen)
+	c.Address("admin", s.Admin)
+	s.checkPeers(&c)
+	return c.Err()
+}
+
+func (s settings) checkPeers(c *configurer.Checker) {
+	self := len(s.Peers) == 0
+	for _, p := range s.Peers {
+		name, address, ok := strings.Cut(p, "=")
+		if !ok || !validator.ValidName(name) {
+			c.Add("peer", fmt.Sprintf("%q is not name=address", p))
+			continue
+		}
+		c.Address("peer", address)
+		self = self || name == s.Name
+	}
+	if !self {
+		c.Add("peer", fmt.Sprintf("%q itself is missing from the list", s.Name))
+	}
+	if len(s.Peers) > maxReplicas {
+		c.Add("peer", fmt.Sprintf("at most %d replicas may be set aside", maxReplicas))
+	}
+}
+
+// members returns the peers as members of the groups.
+func (s settings) members() []replicator.Member {
+	members := make([]replicator.Member, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		name, address, _ := strings.Cut(p, "=")
+		members = append(members, replicator.Member{Name: name, Address: address})
+	}
+	return members
+}
--- /dev/null
+++ b/core/balancer/action.go
@@ -0,0 +1,105 @@
+package balancer
+
+import (
+	"time"
+
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/recorder"
+)
+
+// Action is what the caller must carry out.
+type Action interface{ action() }
+
+// Dispatch sends an attempt to an endpoint.
+type Dispatch struct {
+	Call    CallID
+	Attempt AttemptID
+	// Endpoint and Address say where.
+	Endpoint string
+	Address  string
+	// Number counts the attempts of the call from 1.
+	Number   int
+	Deadline time.Time
+	Connection
+}
+
+// Connection says which connections an attempt may use.
+type Connection struct {
+	// MaxQuiet is the longest that an idle connection may have been without an
+	// answer.
+	MaxQuiet time.Duration
+	// ProvenAfter excludes connections that were neither opened nor answered after
+	// it.
+	ProvenAfter time.Time
+	// MaxOpen is how many connections to the endpoint may be open; idle ones are
+	// closed to make room.
+	MaxOpen int
+}
+
+// Deliver passes the answer of an attempt to the caller.
+type Deliver struct {
+	Call    CallID
+	Attempt AttemptID
+}
+
+// Replay passes a stored answer to the caller.
+type Replay struct {
+	Call   CallID
+	Answer claimer.Answer
+}
+
+// Cancel ends an attempt whose answer nobody needs.
+type Cancel struct {
+	Attempt AttemptID
+}
+
+// Outcome is what the system truthfully says of a call without an answer.
+type Outcome uint8
+
+// The outcomes of a call without an answer.
+const (
+	// OutcomeNotRun: no endpoint ran it, and none will.
+	OutcomeNotRun Outcome = iota + 1
+	// OutcomeUnknown: it may have run.
+	OutcomeUnknown
+)
+
+// Refuse tells the caller that there is no answer.
+type Refuse struct {
+	Call    CallID
+	Outcome Outcome
+	Reason  Reason
+}
+
+// ClaimKey sends a command to the claims log. Only a claim is answered.
+type ClaimKey struct {
+	Call    CallID
+	Command claimer.Command
+}
+
+// Probe asks an endpoint for its load.
+type Probe struct {
+	Endpoint string
+	Address  string
+	Deadline time.Time
+}
+
+// Retire closes the idle connections to an endpoint that is gone.
+type Retire struct {
+	Endpoint string
+}
+
+// Record adds an event to the time line.
+type Record struct {
+	Event recorder.Event
+}
+
+func (Dispatch) action() {}
+func (Deliver) action()  {}
+func (Replay) action()   {}
+func (Cancel) action()   {}
+func (Refuse) action()   {}
+func (ClaimKey) action() {}
+func (Probe) action()    {}
+func (Retire) action()   {}
+func (Record) action()   {}
--- /dev/null
+++ b/core/balancer/balancer.go
@@ -0,0 +1,224 @@
+// Package balancer decides everything that an entry decides for one service: it
+// admits calls, chooses endpoints, tries again, hedges, claims once-only keys,
+// spends its share of the watching budget, and says what became of each call.
+//
+// It does no input or output: Handle takes one input with the present time and
+// returns the actions to carry out.
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/limiter"
+	"comfreyplank.org/core/picker"
+	"comfreyplank.org/core/prober"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/retrier"
+	"comfreyplank.org/core/router"
+	"comfreyplank.org/core/validator"
+)
+
+// TickInterval is how often the caller should hand in a Tick.
+const TickInterval = 5 * time.Millisecond
+
+// Quiet times after which a connection is not used any more.
+const (
+	// OnceQuiet is the longest that a connection for a once-only request may have
+	// been without an answer.
+	OnceQuiet = time.Second
+	// AnyQuiet is the longest for other requests.
+	AnyQuiet = 30 * time.Second
+)
+
+// DirectLife is how long an entry without standing believes what an endpoint
+// itself has told it.
+const DirectLife = 3 * time.Second
+
+// RetryAfter is when a caller whose request was refused may come again.
+const RetryAfter = time.Second
+
+// CallID identifies a call within one balancer.
+type CallID uint64
+
+// AttemptID identifies an attempt within one balancer.
+type AttemptID uint64
+
+// Call is a request that has been matched to a route of the service.
+type Call struct {
+	ID CallID
+	// Request is the caller's request id, for the time line.
+	Request   string
+	Execution router.Execution
+	Class     validator.Class
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Chained is set when the request is itself a retry of an entry higher up.
+	Chained bool
+	// Streamed is set when the request's body can be sent only once.
+	Streamed bool
+	// Key and Fingerprint are set for once-only requests.
+	Key         string
+	Fingerprint string
+}
+
+// Endpoint is what the entry knows of an endpoint of the service.
+type Endpoint struct {
+	registrar.Announcement
+	// Stopped is set when the configuration takes it out of service.
+	Stopped bool
+	// Far is set for another data centre.
+	Far bool
+	// Direct is when the endpoint last told this entry itself that it serves.
+	Direct time.Time
+}
+
+// Balancer is the machine of one service in one entry. It is not safe for
+// concurrent use.
+type Balancer struct {
+	service string
+	entry   string
+	rand    *rand.Rand
+
+	endpoints []*endpoint
+	// candidates stand at the positions of their endpoints.
+	candidates []picker.Candidate
+	picker     *picker.Picker
+	queue      *limiter.Queue
+	budget     *retrier.Budget
+	prober     prober.Prober
+	retention  time.Duration
+
+	calls    map[CallID]*call
+	attempts map[AttemptID]*attempt
+	timers   timers
+	// lastAttempt numbers attempts; it never falls.
+	lastAttempt AttemptID
+	// standingUntil is when this entry's standing ends, unless renewed.
+	standingUntil time.Time
+	// quantile estimates the latency that most answers stay below.
+	quantile   quantile
+	entries    int
+	nextReview time.Time
+	// settled is set once endpoints are known; those that come later start cold.
+	settled bool
+
+	actions []Action
+}
+
+// Option sets up a balancer.
+type Option func(*Balancer)
+
+// WithRand sets the source of randomness.
+func WithRand(source *rand.Rand) Option { return func(b *Balancer) { b.rand = source } }
+
+// WithPolicy sets how endpoints are chosen.
+func WithPolicy(p picker.Policy) Option {
+	return func(b *Balancer) { b.picker = picker.New(picker.WithPolicy(p)) }
+}
+
+// WithRetention sets how long once-only keys are kept.
+func WithRetention(d time.Duration) Option { return func(b *Balancer) { b.retention = d } }
+
+// New returns the balancer of a service. Entry is unique to the process and its
+// start, and makes attempts unique.
+func New(entry string, service validator.Service, opts ...Option) *Balancer {
+	b := &Balancer{
+		service:   service.Name,
+		entry:     entry,
+		queue:     limiter.NewQueue(service.QueueLimit),
+		budget:    retrier.NewBudget(service.RetryPercent),
+		retention: claimer.DefaultRetention,
+		calls:     make(map[CallID]*call),
+		attempts:  make(map[AttemptID]*attempt),
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	if b.rand == nil {
+		b.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if b.picker == nil {
+		b.picker = picker.New(picker.WithRand(b.rand))
+	}
+	return b
+}
+
+// InFlight returns the number of calls that have no answer yet, and of attempts
+// that have not ended.
+func (b *Balancer) InFlight() int { return max(len(b.calls), len(b.attempts)) }
+
+// Handle reacts to one input. The actions are valid until the next call.
+func (b *Balancer) Handle(now time.Time, in Input) []Action {
+	b.actions = b.actions[:0]
+	switch v := in.(type) {
+	case Arrived:
+		b.onArrived(now, v.Call)
+	case AnswerBegan:
+		b.onAnswerBegan(now, v)
+	case AttemptEnded:
+		b.onAttemptEnded(now, v)
+	case CallerGone:
+		b.onCallerGone(now, v.Call)
+	case ClaimDecided:
+		b.onClaimDecided(now, v)
+	case Reconfigured:
+		b.onReconfigured(now, v)
+	case StandingChanged:
+		b.standingUntil = v.Until
+		b.review(now)
+	case ShareGranted:
+		b.prober.Grant(now, v.Share, v.Until)
+	case ProbeEnded:
+		b.onProbeEnded(now, v)
+	case Tick:
+		b.tick(now)
+	}
+	return b.actions
+}
+
+func (b *Balancer) tick(now time.Time) {
+	b.fire(now)
+	for _, id := range b.queue.Expired(now) {
+		b.refuse(now, b.calls[CallID(id)], ReasonDeadline)
+	}
+	if now.Before(b.nextReview) {
+		return
+	}
+	b.nextReview = now.Add(reviewInterval)
+	b.review(now)
+	b.probe(now)
+}
+
+// inStanding reports whether this entry is known to be up to date.
+func (b *Balancer) inStanding(now time.Time) bool { return now.Before(b.standingUntil) }
+
+func (b *Balancer) do(a Action) { b.actions = append(b.actions, a) }
+
+func (b *Balancer) record(kind recorder.Kind, c *call, e *endpoint, detail string) {
+	event := recorder.Event{Kind: kind, Service: b.service, Detail: detail}
+	if c != nil {
+		event.Request = c.Request
+	}
+	if e != nil {
+		event.Endpoint = e.name()
+	}
+	b.do(Record{Event: event})
+}
+
+// connectionCap is how many connections this entry may have to an endpoint: an
+// equal part for each entry that may run at once.
+func (b *Balancer) connectionCap(announced int) int {
+	return max(1, announced/max(1, b.entries))
+}
+
+// limitOf bounds the requests in flight by the limit of connections.
+func (b *Balancer) limitOf(e *endpoint) int {
+	most := limiter.Max(e.Slots, b.connectionCap(e.Connections))
+	return e.limit.Allowed(most)
+}
+
+// keyOf returns the key of a call in the claims log.
+func (b *Balancer) keyOf(c *call) claimer.Key { return claimer.Key{Service: b.service, Value: c.Key} }
--- /dev/null
+++ b/core/balancer/call.go
@@ -0,0 +1,483 @@
+package balancer
+
+import (
+	"fmt"
+	"time"
+
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/picker"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/retrier"
+	"comfreyplank.org/core/router"
+)
+
+// Tuning of hedges and claims.
+const (
+	hedgeFactor = 1.5
+	hedgeFloor  = 5 * time.Millisecond
+	// hedgePressure is the load against the slots above which nothing is hedged.
+	hedgePressure = 0.8
+	// doubtAfter is how long an attempt may be without an answer before the
+	// connections opened before it are in doubt.
+	doubtAfter = 250 * time.Millisecond
+	// claimAgain is how long a claim on a key that another attempt holds waits
+	// before it is made again.
+	claimAgain = 100 * time.Millisecond
+)
+
+// phase is where a call stands.
+type phase uint8
+
+const (
+	phaseNew phase = iota
+	phaseClaiming
+	phaseWaiting // for the attempt that holds the key
+	phaseQueued
+	phaseRunning
+)
+
+// call is a call without an answer.
+type call struct {
+	Call
+	phase phase
+	// live attempts are in flight; at most retrier.MaxAttempts were ever made.
+	live  []AttemptID
+	tried []*endpoint
+	made  int
+	// mayHaveRun is set once an attempt may have run without our learning it.
+	mayHaveRun bool
+	// claim is the attempt that the key was claimed for; empty without a claim.
+	claim string
+	// granted is set while the claim is ours.
+	granted bool
+	// gone is set once nobody waits for the answer.
+	gone bool
+	// last is the reason of the latest failure.
+	last Reason
+}
+
+// attempt is a request in flight at an endpoint.
+type attempt struct {
+	id       AttemptID
+	call     *call // nil once the call has ended without this attempt
+	endpoint *endpoint
+	start    time.Time
+	answered bool
+}
+
+func (b *Balancer) onArrived(now time.Time, v Call) {
+	c := &call{Call: v}
+	b.calls[v.ID] = c
+	if !now.Before(v.Deadline) {
+		b.refuse(now, c, ReasonDeadline)
+		return
+	}
+	b.schedule(v.Deadline, v.ID, timerDeadline)
+	if v.Execution == router.OnceOnly {
+		b.claim(now, c)
+		return
+	}
+	b.start(now, c)
+}
+
+// start sends the first attempt, or puts the call in the queue.
+func (b *Balancer) start(now time.Time, c *call) {
+	if b.queue.Len() == 0 && b.attempt(now, c) {
+		return
+	}
+	if !b.anyAccepts(now) {
+		b.refuse(now, c, ReasonNoEndpoint)
+		return
+	}
+	if !b.queue.Push(now, uint64(c.ID), c.Class, c.Deadline, b.picker.Typical()) {
+		b.refuse(now, c, ReasonQueueFull)
+		return
+	}
+	c.phase = phaseQueued
+}
+
+func (b *Balancer) anyAccepts(now time.Time) bool {
+	for _, e := range b.endpoints {
+		if b.accepts(now, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// drainQueue starts calls that wait, as long as an endpoint takes them.
+func (b *Balancer) drainQueue(now time.Time) {
+	for b.queue.Len() > 0 && b.picker.Pick(now, b.candidates, nil) != picker.None {
+		id, late, _ := b.queue.Pop(now)
+		c, ok := b.calls[CallID(id)]
+		switch {
+		case !ok:
+		case late:
+			b.refuse(now, c, ReasonDeadline)
+		default:
+			b.attempt(now, c)
+		}
+	}
+}
+
+// attempt sends the call to an endpoint that it has not tried, and reports
+// whether there was one.
+func (b *Balancer) attempt(now time.Time, c *call) bool {
+	i := b.pick(now, c)
+	if i == picker.None {
+		return false
+	}
+	b.dispatch(now, c, b.endpoints[i])
+	return true
+}
+
+// pick chooses an endpoint that the call may go to. A request that can't be
+// repeated is not used for the trial of an ejected endpoint.
+func (b *Balancer) pick(now time.Time, c *call) int {
+	return b.picker.Pick(now, b.candidates, func(i int) bool {
+		e := b.endpoints[i]
+		return c.hasTried(e) || (e.ejected() && c.Execution != router.Repeatable)
+	})
+}
+
+func (c *call) hasTried(e *endpoint) bool {
+	for _, t := range c.tried {
+		if t == e {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) dispatch(now time.Time, c *call, e *endpoint) {
+	b.lastAttempt++
+	a := &attempt{id: b.lastAttempt, call: c, endpoint: e, start: now}
+	b.attempts[a.id] = a
+	e.flights = append(e.flights, flight{a.id, now})
+	e.trial = e.ejected()
+	b.candidates[e.at].Sent(now)
+	if e.trial {
+		b.reviewOne(now, e.at, e)
+	}
+	c.phase = phaseRunning
+	c.made++
+	c.live = append(c.live, a.id)
+	c.tried = append(c.tried, e)
+	if c.made == 1 {
+		b.budget.First(now)
+		b.scheduleHedge(now, c)
+	}
+	b.do(Dispatch{
+		Call: c.ID, Attempt: a.id, Endpoint: e.name(), Address: e.Address,
+		Number: c.made, Deadline: c.Deadline, Connection: b.connection(c, e),
+	})
+}
+
+// connection keeps a request that can't be repeated off connections in doubt.
+func (b *Balancer) connection(c *call, e *endpoint) Connection {
+	quiet := AnyQuiet
+	if c.Execution != router.Repeatable {
+		quiet = OnceQuiet
+	}
+	return Connection{MaxQuiet: quiet, ProvenAfter: e.provenAfter, MaxOpen: b.connectionCap(e.Connections)}
+}
+
+func (b *Balancer) scheduleHedge(now time.Time, c *call) {
+	delay := doubtAfter
+	if b.mayHedge(c) && b.quantile.value > 0 {
+		delay = max(hedgeFloor, time.Duration(hedgeFactor*float64(b.quantile.value)))
+	}
+	if at := now.Add(min(delay, doubtAfter)); at.Before(c.Deadline) {
+		b.schedule(at, c.ID, timerHedge)
+	}
+}
+
+func (b *Balancer) mayHedge(c *call) bool {
+	return !c.Streamed && retrier.MayHedge(c.Execution, c.made, c.Chained)
+}
+
+func mayRepeat(c *call, proof retrier.Proof) bool {
+	return !c.Streamed && retrier.MayRepeat(c.Execution, proof, c.made, c.Chained)
+}
+
+// onHedgeDue sends a second attempt beside one that takes long. After an even
+// longer time the connections of the endpoint are in doubt.
+func (b *Balancer) onHedgeDue(now time.Time, c *call) {
+	if c.phase != phaseRunning || len(c.live) == 0 {
+		return
+	}
+	a := b.attempts[c.live[0]]
+	silent := now.Sub(a.start) >= doubtAfter
+	if silent {
+		b.doubt(a)
+	} else if at := a.start.Add(doubtAfter); at.Before(c.Deadline) {
+		b.schedule(at, c.ID, timerHedge)
+	}
+	if len(c.live) > 1 || c.gone || !b.mayHedge(c) {
+		return
+	}
+	if !silent && b.picker.Pressure() > hedgePressure {
+		return
+	}
+	if b.hasTarget(now, c) && b.budget.Spend() && b.attempt(now, c) {
+		b.record(recorder.KindHedged, c, a.endpoint, fmt.Sprintf("no answer after %s", now.Sub(a.start).Round(time.Millisecond)))
+	}
+}
+
+// hasTarget reports whether another endpoint could take the call.
+func (b *Balancer) hasTarget(now time.Time, c *call) bool { return b.pick(now, c) != picker.None }
+
+// doubt puts every connection that was open when the attempt began in doubt.
+func (b *Balancer) doubt(a *attempt) {
+	if a.endpoint.provenAfter.Before(a.start) {
+		a.endpoint.provenAfter = a.start
+		b.record(recorder.KindDoubted, a.call, a.endpoint, "no answer; older connections are not used unless they answer")
+	}
+}
+
+func (b *Balancer) onAnswerBegan(now time.Time, v AnswerBegan) {
+	a, ok := b.attempts[v.Attempt]
+	if !ok || a.answered {
+		return
+	}
+	a.answered = true
+	latency := now.Sub(a.start)
+	b.reported(now, a.endpoint, v.Report, len(a.endpoint.flights)-1)
+	b.measure(a.endpoint, v.Report, latency)
+	if c := a.call; c != nil && b.retryStatus(now, c, a, v.Status) {
+		return
+	}
+	if isFailure(v.Status) {
+		b.failed(now, a.endpoint)
+	} else {
+		b.succeeded(now, a.endpoint)
+	}
+	if a.call == nil {
+		b.do(Cancel{Attempt: a.id})
+		return
+	}
+	b.deliver(now, a, v)
+}
+
+// measure takes the latency of an answer into the averages.
+func (b *Balancer) measure(e *endpoint, r Report, latency time.Duration) {
+	b.candidates[e.at].Answered(latency)
+	b.picker.Observe(latency, r.Load, e.Slots)
+	b.quantile.observe(latency)
+}
+
+// isFailure tells the statuses that speak against an endpoint.
+func isFailure(status int) bool { return status >= 500 && status != 501 }
+
+// retryStatus tries again elsewhere when an endpoint answers that it could not do
+// the work, as long as the call may be repeated.
+func (b *Balancer) retryStatus(now time.Time, c *call, a *attempt, status int) bool {
+	if status != 502 && status != 503 && status != 504 {
+		return false
+	}
+	if c.gone || len(c.live) > 1 || !mayRepeat(c, retrier.ProofNone) {
+		return false
+	}
+	if !b.hasTarget(now, c) || !b.budget.Spend() {
+		return false
+	}
+	b.failed(now, a.endpoint)
+	b.drop(a)
+	c.mayHaveRun = true
+	b.do(Cancel{Attempt: a.id})
+	b.record(recorder.KindRetried, c, a.endpoint, fmt.Sprintf("status %d", status))
+	b.attempt(now, c)
+	return true
+}
+
+// deliver passes an answer on and ends the call.
+func (b *Balancer) deliver(now time.Time, a *attempt, v AnswerBegan) {
+	c := a.call
+	b.settle(c, claimer.Settle{Answer: v.Stored})
+	if c.gone {
+		b.do(Cancel{Attempt: a.id})
+	} else {
+		b.do(Deliver{Call: c.ID, Attempt: a.id})
+	}
+	b.end(now, c)
+}
+
+// end forgets a call, and cancels the attempts whose answer nobody needs.
+func (b *Balancer) end(_ time.Time, c *call) {
+	delete(b.calls, c.ID)
+	for _, id := range c.live {
+		a := b.attempts[id]
+		if a == nil {
+			continue
+		}
+		a.call = nil
+		if !a.answered {
+			b.do(Cancel{Attempt: id})
+		}
+	}
+}
+
+// drop takes an attempt out of its call.
+func (b *Balancer) drop(a *attempt) {
+	c := a.call
+	a.call = nil
+	if c == nil {
+		return
+	}
+	for i, id := range c.live {
+		if id == a.id {
+			c.live = append(c.live[:i:i], c.live[i+1:]...)
+			return
+		}
+	}
+}
+
+func (b *Balancer) onAttemptEnded(now time.Time, v AttemptEnded) {
+	a, ok := b.attempts[v.Attempt]
+	if !ok {
+		return
+	}
+	delete(b.attempts, v.Attempt)
+	b.land(a)
+	b.judge(now, a, v)
+	if c := a.call; c != nil {
+		b.drop(a)
+		b.afterFailure(now, c, a, v.Ending)
+	}
+	if a.endpoint.gone {
+		b.removeGone()
+	}
+	b.drainQueue(now)
+}
+
+// land takes the attempt off its endpoint.
+func (b *Balancer) land(a *attempt) {
+	e := a.endpoint
+	for i, f := range e.flights {
+		if f.attempt == a.id {
+			e.flights = append(e.flights[:i], e.flights[i+1:]...)
+			break
+		}
+	}
+	b.oldest(e.at)
+}
+
+// judge lets the ending speak for or against the endpoint.
+func (b *Balancer) judge(now time.Time, a *attempt, v AttemptEnded) {
+	e := a.endpoint
+	switch v.Ending {
+	case EndingRefused:
+		b.reported(now, e, v.Report, len(e.flights))
+		e.limit.Shed(len(e.flights), b.limitOf(e))
+		e.trial = false
+		b.reviewOne(now, e.at, e)
+	case EndingNotSent, EndingLost:
+		b.failed(now, e)
+	case EndingTimeout:
+		b.doubt(a)
+		b.failed(now, e)
+	case EndingCancelled:
+		e.trial = false
+		b.reviewOne(now, e.at, e)
+	}
+}
+
+func proofOf(ending Ending) retrier.Proof {
+	if ending == EndingNotSent || ending == EndingRefused {
+		return retrier.ProofNotRun
+	}
+	return retrier.ProofNone
+}
+
+func reasonOf(ending Ending) Reason {
+	switch ending {
+	case EndingNotSent:
+		return ReasonFailed
+	case EndingRefused:
+		return ReasonShed
+	case EndingTimeout:
+		return ReasonTimeout
+	}
+	return ReasonLost
+}
+
+// afterFailure tries the call again, waits for another attempt, or ends it.
+func (b *Balancer) afterFailure(now time.Time, c *call, a *attempt, ending Ending) {
+	proof := proofOf(ending)
+	c.last = reasonOf(ending)
+	if proof == retrier.ProofNone {
+		c.mayHaveRun = true
+	}
+	if len(c.live) > 0 {
+		return
+	}
+	if b.repeat(now, c, proof) {
+		b.record(recorder.KindRetried, c, a.endpoint, string(c.last))
+		return
+	}
+	b.refuse(now, c, c.last)
+}
+
+func (b *Balancer) repeat(now time.Time, c *call, proof retrier.Proof) bool {
+	if c.gone || !now.Before(c.Deadline) || !mayRepeat(c, proof) {
+		return false
+	}
+	return b.hasTarget(now, c) && b.budget.Spend() && b.attempt(now, c)
+}
+
+// onCallerGone cancels what nobody waits for. A once-only request that is on its
+// way goes on, so that its outcome is learned and stored.
+func (b *Balancer) onCallerGone(now time.Time, id CallID) {
+	c, ok := b.calls[id]
+	if !ok {
+		return
+	}
+	c.gone = true
+	if c.Execution == router.OnceOnly && len(c.live) > 0 {
+		return
+	}
+	if c.phase == phaseQueued {
+		b.queue.Remove(uint64(c.ID))
+	}
+	b.giveUpClaim(c)
+	b.end(now, c)
+}
+
+func (b *Balancer) onDeadline(now time.Time, c *call) {
+	if c.phase == phaseQueued {
+		b.queue.Remove(uint64(c.ID))
+	}
+	reason := ReasonDeadline
+	switch {
+	case len(c.live) > 0:
+		c.mayHaveRun = true
+		c.last = ReasonTimeout
+		reason = c.last
+		for _, id := range c.live {
+			b.doubt(b.attempts[id])
+		}
+	case c.mayHaveRun:
+		reason = ReasonKeyPending
+	case c.phase == phaseClaiming:
+		reason = ReasonClaim
+	}
+	b.refuse(now, c, reason)
+}
+
+// refuse ends a call without an answer, and says truthfully whether it may have
+// run.
+func (b *Balancer) refuse(now time.Time, c *call, reason Reason) {
+	outcome := OutcomeNotRun
+	kind := recorder.KindRefused
+	if c.mayHaveRun {
+		outcome = OutcomeUnknown
+		kind = recorder.KindUnknown
+		b.settle(c, claimer.Settle{Unknown: true})
+	}
+	b.giveUpClaim(c)
+	b.record(kind, c, nil, string(reason))
+	if !c.gone {
+		b.do(Refuse{Call: c.ID, Outcome: outcome, Reason: reason})
+	}
+	b.end(now, c)
+}
--- /dev/null
+++ b/core/balancer/endpoint.go
@@ -0,0 +1,304 @@
+package balancer
+
+import (
+	"fmt"
+	"time"
+
+	"comfreyplank.org/core/limiter"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/picker"
+	"comfreyplank.org/core/prober"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+)
+
+// Tuning of ejection.
+const (
+	reviewInterval = 20 * time.Millisecond
+	// failuresToEject is how many attempts in a row must fail.
+	failuresToEject = 5
+	// ejectionBase is the first ejection; each one in a row is twice as long.
+	ejectionBase = time.Second
+	ejectionMax  = 30 * time.Second
+	// ejectedPart bounds the ejected endpoints to one in so many, so that a general
+	// failure ejects few.
+	ejectedPart = 3
+)
+
+// flight is an attempt in flight at an endpoint.
+type flight struct {
+	attempt AttemptID
+	start   time.Time
+}
+
+// endpoint is an endpoint and what this entry has learned of it.
+type endpoint struct {
+	Endpoint
+	// flights are ordered by start.
+	flights []flight
+	limit   limiter.Limit
+	// provenAfter excludes older connections that have not answered since.
+	provenAfter time.Time
+	failures    int
+	ejections   int
+	// ejectedUntil is when a trial may be made; zero when not ejected.
+	ejectedUntil time.Time
+	// trial is set while one request decides whether an ejected endpoint returns.
+	trial    bool
+	probing  bool
+	evidence time.Time
+	// gone is set once the entry is told of the endpoint no more; it is removed
+	// when nothing is in flight.
+	gone bool
+	// at is the position in the balancer.
+	at int
+}
+
+func (e *endpoint) name() string { return e.Endpoint.Endpoint }
+
+func (e *endpoint) ejected() bool { return !e.ejectedUntil.IsZero() }
+
+// accepts reports whether new work may go there.
+func (b *Balancer) accepts(now time.Time, e *endpoint) bool {
+	if e.gone || e.Stopped || e.State != registrar.StateServing {
+		return false
+	}
+	if b.inStanding(now) {
+		return true
+	}
+	return now.Sub(e.Direct) <= DirectLife
+}
+
+// onReconfigured takes over settings and endpoints.
+func (b *Balancer) onReconfigured(now time.Time, v Reconfigured) {
+	b.queue = b.queue.WithLimit(v.Service.QueueLimit)
+	b.budget = b.budget.WithPercent(v.Service.RetryPercent)
+	b.entries = v.Entries
+	listed := make(map[string]bool, len(v.Endpoints))
+	for _, e := range v.Endpoints {
+		listed[e.Endpoint] = true
+		b.upsert(now, e)
+	}
+	for _, e := range b.endpoints {
+		if !listed[e.name()] && !e.gone {
+			e.gone = true
+			b.do(Retire{Endpoint: e.name()})
+		}
+	}
+	b.settled = len(b.endpoints) > 0
+	b.removeGone()
+	b.review(now)
+	b.drainQueue(now)
+}
+
+func (b *Balancer) upsert(now time.Time, next Endpoint) {
+	i := b.position(next.Endpoint)
+	if i < 0 {
+		b.add(now, next)
+		return
+	}
+	e := b.endpoints[i]
+	restarted := next.Incarnation != e.Incarnation
+	began := e.State != registrar.StateServing && next.State == registrar.StateServing
+	if next.Direct.Before(e.Direct) {
+		next.Direct = e.Direct
+	}
+	b.noteStop(e, next)
+	e.Endpoint = next
+	e.gone = false
+	if restarted || began {
+		b.candidates[i].WarmFrom = now
+	}
+	if restarted {
+		e.provenAfter = now
+		e.failures = 0
+		e.ejectedUntil = time.Time{}
+	}
+}
+
+// add takes in a new endpoint. Those that were there before this entry count as
+// warm.
+func (b *Balancer) add(now time.Time, next Endpoint) {
+	var warmFrom time.Time
+	if b.settled {
+		warmFrom = now
+	}
+	b.endpoints = append(b.endpoints, &endpoint{Endpoint: next, at: len(b.endpoints)})
+	b.candidates = append(b.candidates, picker.Candidate{WarmFrom: warmFrom})
+}
+
+func (b *Balancer) noteStop(e *endpoint, next Endpoint) {
+	leaves := next.Stopped || next.State == registrar.StateDraining
+	left := e.Stopped || e.State == registrar.StateDraining
+	if leaves && !left {
+		b.record(recorder.KindStopped, nil, e, fmt.Sprintf("no new work, %d in flight", len(e.flights)))
+	}
+}
+
+func (b *Balancer) position(name string) int {
+	for i, e := range b.endpoints {
+		if e.name() == name {
+			return i
+		}
+	}
+	return picker.None
+}
+
+// removeGone drops endpoints that nobody announces and that have no work of ours.
+func (b *Balancer) removeGone() {
+	kept := 0
+	for i, e := range b.endpoints {
+		if e.gone && len(e.flights) == 0 {
+			continue
+		}
+		b.endpoints[kept] = e
+		b.candidates[kept] = b.candidates[i]
+		kept++
+	}
+	clear(b.endpoints[kept:])
+	b.endpoints = b.endpoints[:kept]
+	b.candidates = b.candidates[:kept]
+	for i, e := range b.endpoints {
+		e.at = i
+	}
+}
+
+// review recomputes what the choice may use.
+func (b *Balancer) review(now time.Time) {
+	for i, e := range b.endpoints {
+		b.reviewOne(now, i, e)
+	}
+}
+
+func (b *Balancer) reviewOne(now time.Time, i int, e *endpoint) {
+	c := &b.candidates[i]
+	c.Slots = max(1, e.Slots)
+	c.Far = e.Far
+	c.Limit = b.limitOf(e)
+	c.Closed = !b.accepts(now, e)
+	if !e.ejected() {
+		return
+	}
+	c.Limit = 1
+	c.Closed = c.Closed || now.Before(e.ejectedUntil) || e.trial
+}
+
+// oldest keeps the candidate's view of what is in flight.
+func (b *Balancer) oldest(i int) {
+	e := b.endpoints[i]
+	b.candidates[i].InFlight = len(e.flights)
+	b.candidates[i].OldestStart = time.Time{}
+	if len(e.flights) > 0 {
+		b.candidates[i].OldestStart = e.flights[0].start
+	}
+}
+
+// succeeded takes note of an answer.
+func (b *Balancer) succeeded(now time.Time, e *endpoint) {
+	e.failures = 0
+	e.evidence = now
+	e.limit.Answered(limiter.Max(e.Slots, b.connectionCap(e.Connections)))
+	if e.ejected() {
+		e.ejectedUntil = time.Time{}
+		e.ejections = 0
+		e.trial = false
+		b.candidates[e.at].WarmFrom = now
+		b.record(recorder.KindReturned, nil, e, "a trial request was answered")
+	}
+	b.reviewOne(now, e.at, e)
+}
+
+// failed takes note of a failure, and ejects the endpoint after several in a row.
+func (b *Balancer) failed(now time.Time, e *endpoint) {
+	e.failures++
+	again := e.ejected() && e.trial
+	e.trial = false
+	if again || (e.failures >= failuresToEject && !e.ejected() && b.mayEject()) {
+		b.eject(now, e)
+	}
+	b.reviewOne(now, e.at, e)
+}
+
+func (b *Balancer) eject(now time.Time, e *endpoint) {
+	wait := min(ejectionBase<<min(e.ejections, 10), ejectionMax)
+	e.ejections++
+	e.ejectedUntil = now.Add(wait)
+	b.record(recorder.KindEjected, nil, e, fmt.Sprintf("%d failures in a row, for %s", e.failures, wait))
+}
+
+func (b *Balancer) mayEject() bool {
+	ejected := 0
+	for _, e := range b.endpoints {
+		if e.ejected() {
+			ejected++
+		}
+	}
+	return (ejected+1)*ejectedPart <= len(b.endpoints)
+}
+
+// reported takes in a load report.
+//
+// Own is how many of our requests the report includes.
+func (b *Balancer) reported(now time.Time, e *endpoint, r Report, own int) {
+	c := &b.candidates[e.at]
+	if r.Load >= 0 {
+		c.Reported(now, r.Load, own)
+	}
+	switch r.State {
+	case registrar.StateServing:
+		e.Direct = now
+	case registrar.StateDraining, registrar.StateStarting:
+		b.noteStop(e, e.withState(r.State))
+		e.State = r.State
+		b.reviewOne(now, e.at, e)
+	}
+}
+
+func (e Endpoint) withState(s registrar.State) Endpoint {
+	e.State = s
+	return e
+}
+
+// Leaving returns the endpoints that get no new work, with what is in flight.
+func (b *Balancer) Leaving() []messenger.Leaving {
+	var list []messenger.Leaving
+	for _, e := range b.endpoints {
+		if e.gone || e.Stopped || e.State == registrar.StateDraining {
+			list = append(list, messenger.Leaving{Name: e.Name, InFlight: len(e.flights)})
+		}
+	}
+	return list
+}
+
+// probe spends the share on the endpoint whose evidence is oldest.
+func (b *Balancer) probe(now time.Time) {
+	oldest := picker.None
+	for i, e := range b.endpoints {
+		if e.probing || !b.accepts(now, e) || now.Sub(e.evidence) < prober.Stale {
+			continue
+		}
+		if oldest < 0 || e.evidence.Before(b.endpoints[oldest].evidence) {
+			oldest = i
+		}
+	}
+	if oldest < 0 || !b.prober.Pay(now) {
+		return
+	}
+	e := b.endpoints[oldest]
+	e.probing = true
+	b.do(Probe{Endpoint: e.name(), Address: e.Address, Deadline: now.Add(prober.Timeout)})
+}
+
+func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
+	b.prober.Refund(v.Took)
+	i := b.position(v.Endpoint)
+	if i < 0 {
+		return
+	}
+	e := b.endpoints[i]
+	e.probing = false
+	e.evidence = now
+	if v.OK {
+		b.reported(now, e, v.Report, len(e.flights))
+	}
+}
--- /dev/null
+++ b/core/balancer/input.go
@@ -0,0 +1,119 @@
+package balancer
+
+import (
+	"time"
+
+	"comfreyplank.org/core/allotter"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/validator"
+)
+
+// Input is what a balancer reacts to.
+type Input interface{ input() }
+
+// Arrived brings a new call.
+type Arrived struct {
+	Call Call
+}
+
+// Report is the load that came with an answer.
+type Report struct {
+	// Load is the number of requests at the endpoint; negative when unknown.
+	Load int
+	// State is what the endpoint says of itself; empty when it says nothing.
+	State registrar.State
+}
+
+// AnswerBegan tells that an answer is there: whole if it is small, else its head.
+type AnswerBegan struct {
+	Attempt AttemptID
+	Status  int
+	Report  Report
+	// Stored is what may be kept of a whole answer.
+	Stored claimer.Answer
+}
+
+// Ending says how an attempt ended.
+type Ending uint8
+
+// The endings of an attempt.
+const (
+	// EndingComplete: the answer is whole.
+	EndingComplete Ending = iota + 1
+	// EndingNotSent: no connection, or nothing was written.
+	EndingNotSent
+	// EndingRefused: the endpoint says that it did not run the request.
+	EndingRefused
+	// EndingLost: the connection failed after something was written.
+	EndingLost
+	// EndingTimeout: the deadline passed without an answer.
+	EndingTimeout
+	// EndingCancelled: the attempt was cancelled.
+	EndingCancelled
+)
+
+// AttemptEnded ends an attempt.
+type AttemptEnded struct {
+	Attempt AttemptID
+	Ending  Ending
+	Report  Report
+}
+
+// CallerGone tells that nobody waits for the call any more.
+type CallerGone struct {
+	Call CallID
+}
+
+// ClaimDecided answers a ClaimKey.
+type ClaimDecided struct {
+	Call CallID
+	// Attempt is the one that the claim was made for.
+	Attempt string
+	// Refused is set when the claim was not proposed.
+	Refused bool
+	Verdict claimer.Verdict
+	Answer  claimer.Answer
+}
+
+// Reconfigured replaces the service's settings and its endpoints.
+type Reconfigured struct {
+	Service   validator.Service
+	Endpoints []Endpoint
+	// Entries is how many entries may run at once and share the endpoints'
+	// connections.
+	Entries int
+}
+
+// StandingChanged renews or ends the entry's standing.
+type StandingChanged struct {
+	Until time.Time
+}
+
+// ShareGranted replaces the entry's share of the watching budget.
+type ShareGranted struct {
+	Share allotter.Share
+	Until time.Time
+}
+
+// ProbeEnded ends a probe.
+type ProbeEnded struct {
+	Endpoint string
+	OK       bool
+	Took     time.Duration
+	Report   Report
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Arrived) input()         {}
+func (AnswerBegan) input()     {}
+func (AttemptEnded) input()    {}
+func (CallerGone) input()      {}
+func (ClaimDecided) input()    {}
+func (Reconfigured) input()    {}
+func (StandingChanged) input() {}
+func (ShareGranted) input()    {}
+func (ProbeEnded) input()      {}
+func (Tick) input()            {}
--- /dev/null
+++ b/core/balancer/timer.go
@@ -0,0 +1,86 @@
+package balancer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timerKind says what is due for a call.
+type timerKind uint8
+
+const (
+	timerHedge timerKind = iota + 1
+	timerDeadline
+	timerClaim
+)
+
+type timer struct {
+	at   time.Time
+	call CallID
+	kind timerKind
+}
+
+// timers is a heap ordered by time. Timers of calls that have ended are dropped
+// when they are due.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+
+// Push is part of heap.Interface.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) } //nolint:forcetypeassert // only timers are pushed
+
+// Pop is part of heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
+
+func (b *Balancer) schedule(at time.Time, id CallID, kind timerKind) {
+	heap.Push(&b.timers, timer{at, id, kind})
+}
+
+// fire handles the timers that are due.
+func (b *Balancer) fire(now time.Time) {
+	for len(b.timers) > 0 && !now.Before(b.timers[0].at) {
+		t := heap.Pop(&b.timers).(timer) //nolint:forcetypeassert // only timers are pushed
+		c, ok := b.calls[t.call]
+		if !ok {
+			continue
+		}
+		switch t.kind {
+		case timerHedge:
+			b.onHedgeDue(now, c)
+		case timerDeadline:
+			b.onDeadline(now, c)
+		case timerClaim:
+			b.onClaimDue(now, c)
+		}
+	}
+}
+
+// quantile follows a high quantile of a stream of durations by small steps.
+type quantile struct {
+	value time.Duration
+}
+
+const (
+	quantileTarget = 0.95
+	quantileStep   = 0.05
+)
+
+func (q *quantile) observe(d time.Duration) {
+	if q.value == 0 {
+		q.value = d
+		return
+	}
+	step := quantileStep * float64(q.value)
+	if d > q.value {
+		q.value += time.Duration(step * quantileTarget)
+		return
+	}
+	q.value -= time.Duration(step * (1 - quantileTarget))
+}
--- /dev/null
+++ b/core/controller/configuration.go
@@ -0,0 +1,235 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"comfreyplank.org/core/committer"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/validator"
+)
+
+// maxPendingApplies bounds the changes that wait at once.
+const maxPendingApplies = 256
+
+// Waits for the confirmation of a read before it is given up, or for an entry begun
+// anew.
+const (
+	readPatience     = 150 * time.Millisecond
+	operatorPatience = 2 * time.Second
+)
+
+// pendingApply is an operator who waits for an answer.
+type pendingApply struct {
+	request  uint64
+	document validator.Document
+	until    time.Time
+}
+
+// pendingRead is a confirmed read that is under way, for an operator's request or
+// for an entry that starts.
+type pendingRead struct {
+	id      uint64
+	request uint64
+	conn    Conn
+	// index is what the state must include; zero until the read is confirmed.
+	index uint64
+	until time.Time
+}
+
+func (c *Controller) onApply(now time.Time, v Apply) {
+	doc, problems := validator.Parse(v.Document)
+	if len(problems) == 0 {
+		problems = c.checkStops(now, doc)
+	}
+	if len(problems) > 0 {
+		c.do(AnswerApply{Request: v.Request, Problems: problems, Status: ApplyRefused})
+		return
+	}
+	if _, ok := c.committer.Answer(doc); !ok && !c.proposeChange(doc) {
+		c.do(AnswerApply{Request: v.Request, Status: ApplyNotTaken})
+		return
+	}
+	c.applies = append(c.applies, pendingApply{request: v.Request, document: doc, until: now.Add(ApplyTimeout)})
+	c.answerApplies(now)
+}
+
+func (c *Controller) proposeChange(doc validator.Document) bool {
+	if len(c.applies) >= maxPendingApplies {
+		return false
+	}
+	data, err := committer.Encode(committer.Change{Document: doc})
+	if err != nil {
+		return false
+	}
+	return c.config.replica.Propose(data) == nil
+}
+
+// checkStops refuses a stop that would leave a service without an endpoint. It
+// doesn't apply to a change that was answered before.
+func (c *Controller) checkStops(now time.Time, doc validator.Document) []validator.Problem {
+	if _, answered := c.committer.Answer(doc); answered {
+		return nil
+	}
+	var problems []validator.Problem
+	for i, s := range doc.Stops {
+		if c.addsStop(s) && c.isLast(now, doc, s) {
+			problems = append(problems, validator.Problem{
+				Path:   fmt.Sprintf("stops[%d]", i),
+				Detail: fmt.Sprintf("would leave service %s without an endpoint that serves", s.Service),
+			})
+		}
+	}
+	return problems
+}
+
+// addsStop reports whether the stop is not in force already.
+func (c *Controller) addsStop(s validator.Stop) bool {
+	for _, old := range c.committer.Document().Stops {
+		if old == s {
+			return false
+		}
+	}
+	return true
+}
+
+// isLast reports whether no other endpoint of the service serves once all stops
+// of the document have come.
+func (c *Controller) isLast(now time.Time, doc validator.Document, s validator.Stop) bool {
+	at := now
+	if s.At.After(at) {
+		at = s.At
+	}
+	serves := false
+	for _, a := range c.registry.List(s.Service) {
+		if a.State != registrar.StateServing {
+			continue
+		}
+		if a.Endpoint == s.Endpoint {
+			serves = true
+			continue
+		}
+		if !doc.Stopped(a.Service, a.Endpoint, at) {
+			return false
+		}
+	}
+	return serves
+}
+
+func (c *Controller) applyConfig(now time.Time, data []byte) {
+	before := c.committer.Revision()
+	answer, err := c.committer.Apply(data)
+	if err != nil {
+		c.record(recorder.Event{Kind: recorder.KindJournalFailed, Detail: err.Error()})
+		return
+	}
+	switch {
+	case c.committer.Revision() != before:
+		c.record(recorder.Event{Kind: recorder.KindAccepted, Detail: fmt.Sprintf("revision %d by change %s", answer.Revision, answer.ChangeID)})
+		c.pushConfig(now)
+	case answer.Verdict == committer.VerdictConflict:
+		c.record(recorder.Event{Kind: recorder.KindConflict, Detail: fmt.Sprintf("change %s lost to %s at revision %d", answer.ChangeID, answer.Winner, answer.Revision)})
+	}
+	c.answerApplies(now)
+}
+
+// answerApplies answers the operators whose change has an outcome.
+func (c *Controller) answerApplies(now time.Time) {
+	kept := c.applies[:0]
+	for _, p := range c.applies {
+		status, answer := c.applyStatus(now, p)
+		if status == 0 {
+			kept = append(kept, p)
+			continue
+		}
+		c.do(AnswerApply{Request: p.request, Answer: answer, Status: status})
+	}
+	c.applies = kept
+}
+
+// applyStatus returns zero while there is nothing to say yet.
+func (c *Controller) applyStatus(now time.Time, p pendingApply) (ApplyStatus, committer.Answer) {
+	answer, known := c.committer.Answer(p.document)
+	late := !now.Before(p.until)
+	switch {
+	case known && answer.Verdict != committer.VerdictAccepted:
+		return ApplyRefused, answer
+	case known && c.inForce >= answer.Revision:
+		return ApplyInForce, answer
+	case known && late:
+		return ApplyNotInForce, answer
+	case late:
+		return ApplyUnknown, answer
+	}
+	return 0, answer
+}
+
+// startRead begins a confirmed read. An operator is told at once when there is
+// nobody to confirm it.
+func (c *Controller) startRead(now time.Time, p pendingRead) {
+	c.nextRead++
+	p.id = c.nextRead
+	p.until = now.Add(readPatience)
+	if p.request != 0 {
+		p.until = now.Add(operatorPatience)
+	}
+	if err := c.config.replica.ReadIndex(now, p.id); err != nil && p.request != 0 {
+		c.answerRead(p, false)
+		return
+	}
+	c.reads = append(c.reads, p)
+}
+
+func (c *Controller) onReadConfirmed(r replicatorRead) {
+	for i := range c.reads {
+		if c.reads[i].id == r.ID {
+			c.reads[i].index = max(r.Index, 1)
+		}
+	}
+}
+
+// finishReads answers the reads whose index the state includes.
+func (c *Controller) finishReads(now time.Time) {
+	kept := c.reads[:0]
+	var done []pendingRead
+	for _, p := range c.reads {
+		if p.index != 0 && p.index <= c.config.applied {
+			done = append(done, p)
+			continue
+		}
+		kept = append(kept, p)
+	}
+	c.reads = kept
+	for _, p := range done {
+		if p.request != 0 {
+			c.answerRead(p, true)
+			continue
+		}
+		c.confirmEntry(now, p.conn)
+	}
+}
+
+func (c *Controller) answerRead(p pendingRead, confirmed bool) {
+	c.do(AnswerDocument{Request: p.request, Revision: c.committer.Revision(), Document: c.committer.Document(), Confirmed: confirmed})
+}
+
+func (c *Controller) expireReads(now time.Time) {
+	kept := c.reads[:0]
+	var late []pendingRead
+	for _, p := range c.reads {
+		if now.Before(p.until) {
+			kept = append(kept, p)
+			continue
+		}
+		late = append(late, p)
+	}
+	c.reads = kept
+	for _, p := range late {
+		if p.request != 0 {
+			c.answerRead(p, false)
+			continue
+		}
+		c.startEntryRead(now, p.conn)
+	}
+}
--- /dev/null
+++ b/core/controller/controller.go
@@ -0,0 +1,374 @@
+// Package controller decides everything that one control replica decides: the
+// two replicated logs, the standing of entries, the endpoint registry, the
+// watching budget and membership. It does no input or output: Handle takes one
+// input with the present time and returns the actions to carry out in order.
+package controller
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"comfreyplank.org/core/allotter"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/committer"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
+)
+
+// Timing of a controller.
+const (
+	// TickInterval is how often the caller should hand in a Tick.
+	TickInterval = 20 * time.Millisecond
+	// QuorumWindow is how old the word of a majority may be for a replica to give
+	// standing or shares.
+	QuorumWindow = time.Second
+	// silentAfter is when the entries of a replica that was last heard this long
+	// ago have surely lost their standing.
+	silentAfter = QuorumWindow + messenger.StandingLease + 500*time.Millisecond
+	// ApplyTimeout is how long an operator waits for a change to be in force.
+	ApplyTimeout     = 8 * time.Second
+	claimTimeout     = 5 * time.Second
+	presenceInterval = 500 * time.Millisecond
+	advanceInterval  = 30 * time.Second
+	shareInterval    = 2 * time.Second
+)
+
+// Log lengths at which a snapshot replaces the log.
+const (
+	configLogLength = 256
+	claimsLogLength = 20_000
+)
+
+// Conn identifies a stream of an entry.
+type Conn uint64
+
+// Input is what a controller reacts to.
+type Input interface{ input() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// PeerSaid is a message of another replica.
+type PeerSaid struct {
+	Message messenger.ToPeer
+}
+
+// EntrySaid is a message on the stream of an entry.
+type EntrySaid struct {
+	Conn    Conn
+	Message messenger.ToControl
+}
+
+// EntryLost tells that the stream of an entry ended.
+type EntryLost struct {
+	Conn Conn
+}
+
+// Persisted tells that a Persist has been synced.
+type Persisted struct {
+	Group  messenger.Group
+	Output replicator.Output
+}
+
+// Apply is a change by an operator.
+type Apply struct {
+	// Request is returned in the AnswerApply.
+	Request  uint64
+	Document []byte
+}
+
+// ReadDocument asks for the configuration in force, confirmed by a majority.
+type ReadDocument struct {
+	Request uint64
+}
+
+// HandOver asks to give leadership away before a planned stop.
+type HandOver struct{}
+
+func (Tick) input()         {}
+func (PeerSaid) input()     {}
+func (EntrySaid) input()    {}
+func (EntryLost) input()    {}
+func (Persisted) input()    {}
+func (Apply) input()        {}
+func (ReadDocument) input() {}
+func (HandOver) input()     {}
+
+// Action is what the caller must carry out.
+type Action interface{ action() }
+
+// SendPeer sends a message to the replica at an address; it may be lost.
+type SendPeer struct {
+	Address string
+	Message messenger.ToPeer
+}
+
+// SendEntry sends a message on the stream of an entry.
+type SendEntry struct {
+	Conn    Conn
+	Message messenger.ToEntry
+}
+
+// Persist syncs State, Snapshot and Entries of an Output, in that order, and is
+// answered by Persisted.
+type Persist struct {
+	Group  messenger.Group
+	Output replicator.Output
+}
+
+// Store keeps a snapshot in place of the log up to it.
+type Store struct {
+	Group    messenger.Group
+	Snapshot replicator.Snapshot
+	// Rest are the entries that follow the snapshot.
+	Rest []replicator.Entry
+}
+
+// Found creates the disk of a new group.
+type Found struct {
+	Group  messenger.Group
+	Stored replicator.Stored
+}
+
+// AnswerApply answers an Apply.
+type AnswerApply struct {
+	Request  uint64
+	Problems []validator.Problem
+	Answer   committer.Answer
+	Status   ApplyStatus
+}
+
+// AnswerDocument answers a ReadDocument.
+type AnswerDocument struct {
+	Request  uint64
+	Revision uint64
+	Document validator.Document
+	// Confirmed is false when no majority could be asked in time.
+	Confirmed bool
+}
+
+// Record adds an event to the time line.
+type Record struct {
+	Event recorder.Event
+}
+
+func (SendPeer) action()       {}
+func (SendEntry) action()      {}
+func (Persist) action()        {}
+func (Store) action()          {}
+func (Found) action()          {}
+func (AnswerApply) action()    {}
+func (AnswerDocument) action() {}
+func (Record) action()         {}
+
+// ApplyStatus says what is known of a change.
+type ApplyStatus uint8
+
+// The statuses of a change.
+const (
+	// ApplyInForce: accepted, and taken up by every entry in standing.
+	ApplyInForce ApplyStatus = iota + 1
+	// ApplyRefused: it will never take effect.
+	ApplyRefused
+	// ApplyNotInForce: accepted, but not yet known to be in force everywhere.
+	ApplyNotInForce
+	// ApplyUnknown: it may yet be accepted. Send it again with the same identity.
+	ApplyUnknown
+	// ApplyNotTaken: this replica hears no leader and has proposed nothing.
+	ApplyNotTaken
+)
+
+// Controller is the machine of one control replica. It is not safe for
+// concurrent use.
+type Controller struct {
+	self    replicator.Member
+	peers   []replicator.Member
+	run     uint64
+	rand    *rand.Rand
+	started time.Time
+
+	config group
+	claims group
+	// committer and claimer hold the state after the last applied entries.
+	committer *committer.Committer
+	claimer   *claimer.Claimer
+	claimOpts []claimer.Option
+
+	entries  map[Conn]*entry
+	registry *registrar.Registry
+	news     messenger.EndpointNews
+	presence map[string]*peer
+
+	applies      []pendingApply
+	reads        []pendingRead
+	nextRead     uint64
+	claimWaiters map[claimID]claimWaiter
+
+	// inForce is a revision that every entry in standing has; it never falls.
+	inForce uint64
+	// departedUntil is when the entries of removed replicas have lost standing.
+	departedUntil time.Time
+	memberIDs     replicator.Membership
+	leader        replicator.ID
+
+	budgets     map[string]*allotter.Allotter
+	shares      map[string]heldShare
+	subShares   map[string]*allotter.Allotter
+	nextShare   time.Time
+	nextBeat    time.Time
+	nextAdvance time.Time
+	lastAdvance time.Time
+
+	actions []Action
+}
+
+// Option sets up a controller.
+type Option func(*Controller)
+
+// WithPeers sets the replicas that are to form the system, this one included.
+// Without it a replica works alone.
+func WithPeers(peers []replicator.Member) Option {
+	return func(c *Controller) { c.peers = peers }
+}
+
+// WithRand sets the source of randomness.
+func WithRand(source *rand.Rand) Option {
+	return func(c *Controller) { c.rand = source }
+}
+
+// WithClaims sets the bounds of the claims. All replicas must agree on them.
+func WithClaims(opts ...claimer.Option) Option {
+	return func(c *Controller) { c.claimOpts = opts }
+}
+
+// Disk is what a replica finds in its data folder when it starts.
+type Disk struct {
+	Config replicator.Stored
+	Claims replicator.Stored
+}
+
+// New returns the controller of a replica.
+func New(now time.Time, self replicator.Member, disk Disk, opts ...Option) (*Controller, error) {
+	c := &Controller{
+		self:         self,
+		started:      now,
+		entries:      make(map[Conn]*entry),
+		registry:     registrar.New(),
+		presence:     make(map[string]*peer),
+		claimWaiters: make(map[claimID]claimWaiter),
+		budgets:      make(map[string]*allotter.Allotter),
+		shares:       make(map[string]heldShare),
+		subShares:    make(map[string]*allotter.Allotter),
+		lastAdvance:  now,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	if c.rand == nil {
+		c.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	c.run = c.rand.Uint64()
+	if err := c.load(now, disk); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// load starts both groups from the disk.
+func (c *Controller) load(now time.Time, disk Disk) error {
+	for _, id := range messenger.Groups {
+		stored := disk.Config
+		if id == messenger.GroupClaims {
+			stored = disk.Claims
+		}
+		if err := c.startGroup(now, id, stored); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startGroup makes the replica of a group and the state of its snapshot.
+func (c *Controller) startGroup(now time.Time, id messenger.Group, stored replicator.Stored) error {
+	source := rand.New(rand.NewPCG(c.rand.Uint64(), c.rand.Uint64()))
+	replica, err := replicator.New(now, c.self.ID, stored, replicator.WithRand(source))
+	if err != nil {
+		return err
+	}
+	*c.group(id) = group{id: id, replica: replica, applied: stored.Snapshot.Index}
+	return c.restore(id, stored.Snapshot.Data)
+}
+
+// restore replaces the state of a group by a snapshot.
+func (c *Controller) restore(id messenger.Group, data []byte) (err error) {
+	if id == messenger.GroupClaims {
+		c.claimer, err = claimer.Restore(data, c.claimOpts...)
+		return err
+	}
+	c.committer, err = committer.Restore(data)
+	return err
+}
+
+// Handle reacts to one input. The actions are valid until the next call.
+func (c *Controller) Handle(now time.Time, in Input) []Action {
+	c.actions = c.actions[:0]
+	switch v := in.(type) {
+	case Tick:
+		c.tick(now)
+	case PeerSaid:
+		c.onPeer(now, v.Message)
+	case EntrySaid:
+		c.onEntry(now, v.Conn, v.Message)
+	case EntryLost:
+		c.onEntryLost(now, v.Conn)
+	case Persisted:
+		c.onPersisted(now, v)
+	case Apply:
+		c.onApply(now, v)
+	case ReadDocument:
+		c.startRead(now, pendingRead{request: v.Request})
+	case HandOver:
+		c.handOver(now)
+	}
+	c.pump(now)
+	return c.actions
+}
+
+func (c *Controller) tick(now time.Time) {
+	c.config.replica.Tick(now)
+	c.claims.replica.Tick(now)
+	c.found(now)
+	c.sayPresence(now)
+	c.expireEndpoints(now)
+	c.expireEntries(now)
+	c.expireReads(now)
+	c.expireClaims(now)
+	c.advanceClaims(now)
+	c.askShares(now)
+	c.updateInForce(now)
+	c.answerApplies(now)
+}
+
+func (c *Controller) handOver(now time.Time) {
+	for _, id := range messenger.Groups {
+		if next, err := c.group(id).replica.HandOver(now); err == nil {
+			c.record(recorder.Event{Kind: recorder.KindLeader, Detail: id.String() + " handed over to " + c.nameOf(next)})
+		}
+	}
+}
+
+func (c *Controller) do(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Controller) record(e recorder.Event) { c.do(Record{Event: e}) }
+
+// hearsMajority reports whether a majority surely stood behind the leader that
+// this replica follows, not long ago.
+func (c *Controller) hearsMajority(now time.Time) bool {
+	at := c.config.replica.QuorumAt()
+	return !at.IsZero() && now.Sub(at) <= QuorumWindow
+}
+
+func (c *Controller) leads() bool { return c.config.replica.Role() == replicator.RoleLeader }
--- /dev/null
+++ b/core/controller/membership.go
@@ -0,0 +1,187 @@
+package controller
+
+import (
+	"hash/fnv"
+	"strings"
+	"time"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/replicator"
+)
+
+// peer is what another replica last said of itself.
+type peer struct {
+	member  replicator.Member
+	run     uint64
+	founded bool
+	heard   time.Time
+	// differs counts the presences in a row whose registry is not like ours.
+	differs int
+}
+
+func describe(members replicator.Membership) string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		name := m.Name
+		if !m.Voter {
+			name += " (no vote yet)"
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// founded reports whether this replica belongs to a group already.
+func (c *Controller) founded() bool { return len(c.config.replica.Members()) > 0 }
+
+// found creates the groups where there is no doubt that none exists: alone, or as
+// the first by name when every other replica says that its disk is empty too.
+func (c *Controller) found(now time.Time) {
+	if c.founded() || !c.mayFound() {
+		return
+	}
+	for _, id := range messenger.Groups {
+		stored := replicator.Bootstrap(c.self)
+		if err := c.startGroup(now, id, stored); err != nil {
+			panic(err) // an empty snapshot always restores
+		}
+		c.do(Found{Group: id, Stored: stored})
+	}
+	c.record(recorder.Event{Kind: recorder.KindMembership, Detail: "founded by " + c.self.Name})
+}
+
+func (c *Controller) mayFound() bool {
+	for _, p := range c.peers {
+		if p.Name == c.self.Name {
+			continue
+		}
+		if p.Name < c.self.Name {
+			return false
+		}
+		known, ok := c.presence[p.Name]
+		if !ok || known.founded {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) sayPresence(now time.Time) {
+	if now.Before(c.nextBeat) {
+		return
+	}
+	c.nextBeat = now.Add(presenceInterval)
+	message := messenger.Presence{Member: c.self, Run: c.run, Founded: c.founded(), Registry: c.registryDigest()}
+	if c.leads() {
+		message.InForce = c.inForce
+	}
+	addresses := c.peerAddresses()
+	for _, address := range addresses {
+		c.do(SendPeer{Address: address, Message: message})
+	}
+	if len(c.news.Renewals) > 0 {
+		c.sayNews(addresses, messenger.EndpointNews{Renewals: c.news.Renewals})
+		c.news.Renewals = nil
+	}
+}
+
+// peerAddresses lists where other replicas may be, each once.
+func (c *Controller) peerAddresses() []string {
+	seen := map[string]bool{c.self.Address: true, "": true}
+	var addresses []string
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	for _, p := range c.peers {
+		add(p.Address)
+	}
+	for _, m := range c.config.replica.Members() {
+		add(m.Address)
+	}
+	return addresses
+}
+
+func (c *Controller) onPeer(now time.Time, m messenger.ToPeer) {
+	switch v := m.(type) {
+	case messenger.Replicated:
+		c.group(v.Group).replica.Receive(now, v.Envelope)
+		c.updateInForce(now)
+	case messenger.Presence:
+		c.onPresence(now, v)
+	case messenger.EndpointNews:
+		c.onNews(now, v)
+	case messenger.ShareRequest:
+		c.onShareRequest(now, v)
+	case messenger.ShareReply:
+		c.onShareReply(v)
+	}
+}
+
+func (c *Controller) onPresence(now time.Time, v messenger.Presence) {
+	p, ok := c.presence[v.Member.Name]
+	if !ok {
+		p = &peer{}
+		c.presence[v.Member.Name] = p
+	}
+	fresh := p.run != v.Run
+	p.member = v.Member
+	p.run = v.Run
+	p.founded = v.Founded
+	p.heard = now
+	c.inForce = max(c.inForce, min(v.InForce, c.committer.Revision()))
+	c.answerApplies(now)
+	c.compareRegistry(p, v.Registry, fresh)
+	for _, id := range messenger.Groups {
+		c.admit(now, c.group(id), p)
+	}
+}
+
+// admit takes a replica into a group, one step at a time: the former disk of the
+// same name leaves, the new one joins without a vote, and votes once it has all.
+func (c *Controller) admit(now time.Time, g *group, p *peer) {
+	if g.replica.Role() != replicator.RoleLeader {
+		return
+	}
+	members := g.replica.Members()
+	if m, ok := members.Find(p.member.ID); ok {
+		c.promote(now, g, m, p.member.Address)
+		return
+	}
+	former, ok := members.Named(p.member.Name)
+	if !ok {
+		c.change(now, g, members.With(p.member.WithoutVote()))
+		return
+	}
+	if _, heard := g.replica.Report(former.ID); now.Sub(heard) > replicator.DefaultElectionMax {
+		c.change(now, g, members.Without(former.ID))
+	}
+}
+
+// promote gives a member that has caught up its vote, or its new address.
+func (c *Controller) promote(now time.Time, g *group, m replicator.Member, address string) {
+	if m.Voter && m.Address == address {
+		return
+	}
+	m.Address = address
+	m.Voter = m.Voter || g.replica.Match(m.ID) >= g.replica.Commit()
+	c.change(now, g, g.replica.Members().With(m))
+}
+
+func (c *Controller) change(now time.Time, g *group, next replicator.Membership) {
+	if err := g.replica.ChangeMembers(now, next); err == nil {
+		c.record(recorder.Event{Kind: recorder.KindMembership, Detail: g.id.String() + " to " + describe(next)})
+	}
+}
+
+// registryDigest tells whether two replicas know the same endpoints.
+func (c *Controller) registryDigest() uint64 {
+	h := fnv.New64a()
+	for _, a := range c.registry.List("") {
+		_, _ = h.Write([]byte(a.Service + "/" + a.Endpoint + "/" + string(a.State) + "/" + a.Address))
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/core/controller/registry.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"time"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+)
+
+// differencesBeforeResend is how many times in a row a peer's registry may differ
+// before it is sent the whole: news may still be on their way.
+const differencesBeforeResend = 2
+
+// onAnnounced takes announcements from an entry and passes on what is new.
+func (c *Controller) onAnnounced(now time.Time, list []registrar.Announcement) {
+	changed := c.takeIn(now, list)
+	if len(changed) > 0 {
+		c.sayNews(c.peerAddresses(), messenger.EndpointNews{Announcements: changed})
+	}
+}
+
+// takeIn stores announcements, tells the entries of changes, and returns them.
+func (c *Controller) takeIn(now time.Time, list []registrar.Announcement) []registrar.Announcement {
+	var changed []registrar.Announcement
+	for _, a := range list {
+		switch c.registry.Announce(now, a) {
+		case registrar.OutcomeChanged:
+			changed = append(changed, a)
+			c.record(recorder.Event{Kind: recorder.KindStateChanged, Service: a.Service, Endpoint: a.Endpoint, Detail: stateOf(a)})
+		case registrar.OutcomeRenewed:
+			c.news.Renewals = append(c.news.Renewals, messenger.Renewal{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load})
+		}
+	}
+	c.tellEntries(changed, nil)
+	return changed
+}
+
+func stateOf(a registrar.Announcement) string {
+	if a.Gone {
+		return "gone"
+	}
+	return string(a.State)
+}
+
+func (c *Controller) tellEntries(changed []registrar.Announcement, removed []registrar.Name) {
+	if len(changed) == 0 && len(removed) == 0 {
+		return
+	}
+	for _, conn := range c.connections() {
+		if c.entries[conn].confirmed {
+			c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Changed: changed, Removed: removed}})
+		}
+	}
+}
+
+func (c *Controller) sayNews(addresses []string, news messenger.EndpointNews) {
+	for _, address := range addresses {
+		c.do(SendPeer{Address: address, Message: news})
+	}
+}
+
+func (c *Controller) onNews(now time.Time, v messenger.EndpointNews) {
+	pending := c.news.Renewals
+	c.takeIn(now, v.Announcements)
+	for _, r := range v.Renewals {
+		c.renew(now, r)
+	}
+	c.news.Renewals = pending // news of a peer are not passed on
+}
+
+func (c *Controller) renew(now time.Time, r messenger.Renewal) {
+	a, ok := c.registry.Find(r.Name)
+	if !ok || a.Incarnation != r.Incarnation {
+		return
+	}
+	a.Sequence = r.Sequence
+	a.Load = r.Load
+	c.registry.Announce(now, a)
+}
+
+func (c *Controller) expireEndpoints(now time.Time) {
+	expired := c.registry.Expire(now)
+	removed := make([]registrar.Name, 0, len(expired))
+	for _, a := range expired {
+		removed = append(removed, a.Name)
+		if !a.Gone {
+			c.record(recorder.Event{Kind: recorder.KindExpired, Service: a.Service, Endpoint: a.Endpoint})
+		}
+	}
+	c.tellEntries(nil, removed)
+}
+
+// compareRegistry sends all endpoints to a replica that has started anew or
+// stays different.
+func (c *Controller) compareRegistry(p *peer, digest uint64, fresh bool) {
+	if digest == c.registryDigest() {
+		p.differs = 0
+		return
+	}
+	p.differs++
+	if !fresh && p.differs < differencesBeforeResend {
+		return
+	}
+	p.differs = 0
+	c.sayNews([]string{p.member.Address}, messenger.EndpointNews{Announcements: c.registry.List("")})
+}
--- /dev/null
+++ b/core/controller/standing.go
@@ -0,0 +1,184 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/replicator"
+)
+
+type replicatorRead = replicator.Read
+
+// entry is an entry process that is connected to this replica, or was until its
+// standing ends.
+type entry struct {
+	hello messenger.Hello
+	// revision is what the entry says it has in force.
+	revision uint64
+	// confirmed is set once a confirmed read has shown that the state that this
+	// entry got is not behind.
+	confirmed bool
+	// standingUntil is when the entry surely has lost its standing, unless renewed.
+	standingUntil time.Time
+	leaving       []messenger.Leaving
+	lost          bool
+}
+
+func (c *Controller) onEntry(now time.Time, conn Conn, m messenger.ToControl) {
+	if v, ok := m.(messenger.Hello); ok {
+		c.entries[conn] = &entry{hello: v, revision: v.Revision}
+		c.record(recorder.Event{Kind: recorder.KindEntryJoined, Detail: v.Entry})
+		c.startEntryRead(now, conn)
+		return
+	}
+	e, ok := c.entries[conn]
+	if !ok || e.lost {
+		return
+	}
+	switch v := m.(type) {
+	case messenger.Beat:
+		c.onBeat(now, conn, e, v)
+	case messenger.Announced:
+		c.onAnnounced(now, v.Announcements)
+	case messenger.Claiming:
+		c.onClaiming(now, conn, v)
+	}
+}
+
+// startEntryRead keeps asking until a majority confirms, as long as the entry is
+// connected.
+func (c *Controller) startEntryRead(now time.Time, conn Conn) {
+	if e, ok := c.entries[conn]; ok && !e.lost && !e.confirmed {
+		c.startRead(now, pendingRead{conn: conn})
+	}
+}
+
+// confirmEntry brings an entry up to date for the first time.
+func (c *Controller) confirmEntry(_ time.Time, conn Conn) {
+	e, ok := c.entries[conn]
+	if !ok || e.lost {
+		return
+	}
+	e.confirmed = true
+	c.sendConfig(conn)
+	c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Full: true, Changed: c.registry.List("")}})
+}
+
+func (c *Controller) sendConfig(conn Conn) {
+	c.do(SendEntry{Conn: conn, Message: messenger.Configured{Revision: c.committer.Revision(), Document: c.committer.Document()}})
+}
+
+// pushConfig sends the configuration to every entry that follows this replica.
+func (c *Controller) pushConfig(now time.Time) {
+	for _, conn := range c.connections() {
+		if c.entries[conn].confirmed {
+			c.sendConfig(conn)
+		}
+	}
+	c.updateInForce(now)
+}
+
+// connections lists the streams that are open, in a fixed order.
+func (c *Controller) connections() []Conn {
+	var conns []Conn
+	for conn, e := range c.entries {
+		if !e.lost {
+			conns = append(conns, conn)
+		}
+	}
+	slices.SortFunc(conns, cmp.Compare)
+	return conns
+}
+
+func (c *Controller) onBeat(now time.Time, conn Conn, e *entry, b messenger.Beat) {
+	e.revision = b.Revision
+	e.leaving = b.Leaving
+	standing := e.confirmed && e.revision == c.committer.Revision() && c.hearsMajority(now)
+	answer := messenger.BeatAnswer{Sequence: b.Sequence, Standing: standing}
+	if standing {
+		e.standingUntil = now.Add(messenger.StandingLease)
+		answer.Shares = c.entryShares(now, e.hello.Entry)
+	}
+	c.do(SendEntry{Conn: conn, Message: answer})
+	c.updateInForce(now)
+	c.answerApplies(now)
+}
+
+func (c *Controller) onEntryLost(_ time.Time, conn Conn) {
+	e, ok := c.entries[conn]
+	if !ok {
+		return
+	}
+	e.lost = true
+	c.record(recorder.Event{Kind: recorder.KindEntryLeft, Detail: e.hello.Entry})
+}
+
+// expireEntries forgets lost entries once their standing has ended.
+func (c *Controller) expireEntries(now time.Time) {
+	for conn, e := range c.entries {
+		if e.lost && !now.Before(e.standingUntil) {
+			delete(c.entries, conn)
+		}
+	}
+}
+
+// ownInForce returns the revision that every entry in standing here has.
+//
+// A former process of this replica may have given standing to entries that this
+// one doesn't know, so nothing is claimed until that has ended.
+func (c *Controller) ownInForce(now time.Time) uint64 {
+	if now.Sub(c.started) < messenger.StandingLease {
+		return 0
+	}
+	revision := c.committer.Revision()
+	for _, e := range c.entries {
+		if now.Before(e.standingUntil) {
+			revision = min(revision, e.revision)
+		}
+	}
+	return revision
+}
+
+// updateInForce tells the leader what is in force here, and as leader finds what
+// is in force everywhere.
+func (c *Controller) updateInForce(now time.Time) {
+	own := c.ownInForce(now)
+	c.config.replica.SetReport(own)
+	if !c.leads() || !c.hearsMajority(now) || now.Before(c.departedUntil) {
+		return
+	}
+	everywhere := own
+	for _, m := range c.config.replica.Members() {
+		if m.ID == c.self.ID {
+			continue
+		}
+		report, heard := c.config.replica.Report(m.ID)
+		if now.Sub(heard) > silentAfter {
+			continue
+		}
+		everywhere = min(everywhere, report)
+	}
+	if everywhere > c.inForce {
+		c.inForce = everywhere
+		c.nextBeat = time.Time{} // tell the other replicas with the next tick
+	}
+}
+
+// noteMembers remembers when a replica left: its entries keep their standing for
+// a while.
+func (c *Controller) noteMembers(now time.Time) {
+	members := c.config.replica.Members()
+	if slices.Equal(members, c.memberIDs) {
+		return
+	}
+	for _, m := range c.memberIDs {
+		if _, ok := members.Find(m.ID); !ok {
+			c.departedUntil = now.Add(silentAfter)
+		}
+	}
+	c.memberIDs = members
+	c.record(recorder.Event{Kind: recorder.KindMembership, Detail: describe(members)})
+}
--- /dev/null
+++ b/core/controller/status.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
+)
+
+// Status is what one replica knows.
+type Status struct {
+	Replica string `json:"replica"`
+	// HearsMajority is false on a replica that may be cut off: what it says may be
+	// behind.
+	HearsMajority bool                     `json:"hears-majority"`
+	Role          string                   `json:"role"`
+	Leader        string                   `json:"leader"`
+	Term          uint64                   `json:"term"`
+	Revision      uint64                   `json:"revision"`
+	InForce       uint64                   `json:"in-force-everywhere"`
+	Claims        int                      `json:"claims"`
+	Members       replicator.Membership    `json:"members"`
+	Entries       []EntryStatus            `json:"entries"`
+	Endpoints     []registrar.Announcement `json:"endpoints"`
+}
+
+// EntryStatus is what a replica knows of an entry that follows it.
+type EntryStatus struct {
+	Entry      string              `json:"entry"`
+	DataCentre string              `json:"data-centre"`
+	Admin      string              `json:"admin"`
+	Revision   uint64              `json:"revision"`
+	Standing   bool                `json:"standing"`
+	Leaving    []messenger.Leaving `json:"leaving,omitempty"`
+}
+
+// Status returns what the replica knows.
+func (c *Controller) Status(now time.Time) Status {
+	s := Status{
+		Replica:       c.self.Name,
+		HearsMajority: c.hearsMajority(now),
+		Role:          c.config.replica.Role().String(),
+		Leader:        c.nameOf(c.config.replica.Leader()),
+		Term:          c.config.replica.Term(),
+		Revision:      c.committer.Revision(),
+		InForce:       c.inForce,
+		Claims:        c.claimer.Len(),
+		Members:       c.config.replica.Members(),
+		Endpoints:     c.registry.List(""),
+	}
+	for _, e := range c.entries {
+		s.Entries = append(s.Entries, EntryStatus{
+			Entry: e.hello.Entry, DataCentre: e.hello.DataCentre, Admin: e.hello.Admin,
+			Revision: e.revision, Standing: now.Before(e.standingUntil), Leaving: e.leaving,
+		})
+	}
+	slices.SortFunc(s.Entries, func(a, b EntryStatus) int { return cmp.Compare(a.Entry, b.Entry) })
+	return s
+}
+
+// Document returns the configuration that this replica has, which may be behind.
+func (c *Controller) Document() (uint64, validator.Document) {
+	return c.committer.Revision(), c.committer.Document()
+}
--- /dev/null
+++ b/core/recorder/event.go
@@ -0,0 +1,88 @@
+// Package recorder defines the events of the time line, the hybrid logical clock
+// that orders them over all processes, and the bounded ring that keeps them.
+package recorder
+
+import "time"
+
+// Kind names what happened.
+type Kind string
+
+// The kinds of event.
+const (
+	KindAnnounced     Kind = "endpoint-announced"
+	KindStateChanged  Kind = "endpoint-state-changed"
+	KindExpired       Kind = "endpoint-expired"
+	KindEjected       Kind = "endpoint-ejected"
+	KindReturned      Kind = "endpoint-returned"
+	KindStopped       Kind = "endpoint-stopped"
+	KindStopComplete  Kind = "stop-complete"
+	KindDoubted       Kind = "connections-doubted"
+	KindRetried       Kind = "attempt-retried"
+	KindHedged        Kind = "attempt-hedged"
+	KindRefused       Kind = "call-refused"
+	KindUnknown       Kind = "call-unknown"
+	KindStanding      Kind = "standing-changed"
+	KindConfigured    Kind = "configuration-taken-up"
+	KindAccepted      Kind = "configuration-accepted"
+	KindConflict      Kind = "configuration-conflict"
+	KindLeader        Kind = "leader-changed"
+	KindMembership    Kind = "membership-changed"
+	KindEntryJoined   Kind = "entry-joined"
+	KindEntryLeft     Kind = "entry-left"
+	KindBudget        Kind = "budget-share-changed"
+	KindShutdown      Kind = "shutdown"
+	KindStarted       Kind = "started"
+	KindJournalFailed Kind = "journal-failed"
+)
+
+// Stamp is a time of the hybrid logical clock.
+type Stamp struct {
+	// Wall is in milliseconds since 1970.
+	Wall int64 `json:"wall-ms"`
+	// Count orders events of the same millisecond.
+	Count uint32 `json:"count"`
+}
+
+// Before reports whether s comes before t.
+func (s Stamp) Before(t Stamp) bool {
+	if s.Wall != t.Wall {
+		return s.Wall < t.Wall
+	}
+	return s.Count < t.Count
+}
+
+// Event is one entry of the time line.
+type Event struct {
+	At       Stamp  `json:"at"`
+	Instance string `json:"instance"`
+	Kind     Kind   `json:"kind"`
+	Service  string `json:"service,omitempty"`
+	Endpoint string `json:"endpoint,omitempty"`
+	// Request is the caller's request id, if the event concerns one call.
+	Request string `json:"request,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Clock is a hybrid logical clock. It never goes back, and follows the latest
+// stamp that it is shown.
+type Clock struct {
+	last Stamp
+}
+
+// Next returns the stamp of an event at the given time.
+func (c *Clock) Next(now time.Time) Stamp {
+	wall := now.UnixMilli()
+	if wall > c.last.Wall {
+		c.last = Stamp{Wall: wall}
+		return c.last
+	}
+	c.last.Count++
+	return c.last
+}
+
+// Observe takes note of a stamp from another process.
+func (c *Clock) Observe(s Stamp) {
+	if c.last.Before(s) {
+		c.last = s
+	}
+}
--- /dev/null
+++ b/core/registrar/registrar.go
@@ -0,0 +1,169 @@
+// Package registrar keeps the endpoints that have announced themselves, each for
+// the length of a lease. It is soft state: nothing of it is stored.
+package registrar
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Lease is how long an announcement holds, and Renewal how often an endpoint
+// should repeat it.
+const (
+	Lease   = 15 * time.Second
+	Renewal = 5 * time.Second
+)
+
+// MaxEndpoints bounds the endpoints that a registry keeps.
+const MaxEndpoints = 5_000
+
+// State is what an endpoint says of itself.
+type State string
+
+// The states of an endpoint.
+const (
+	StateStarting State = "starting"
+	StateServing  State = "serving"
+	StateDraining State = "draining"
+)
+
+// Name identifies an endpoint of a service.
+type Name struct {
+	Service  string `json:"service"`
+	Endpoint string `json:"endpoint"`
+}
+
+// Announcement is what an endpoint says of itself. It is immutable.
+type Announcement struct {
+	Name
+	// Address is an IP address and port.
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre"`
+	// Slots is how many requests the endpoint runs at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections the endpoint accepts from all entries
+	// together.
+	Connections int   `json:"connections"`
+	State       State `json:"state"`
+	// Incarnation rises with each start of the endpoint's process.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence rises with each announcement of an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Load is the number of requests running or queued at the endpoint.
+	Load int `json:"load"`
+	// Gone marks a goodbye.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Newer reports whether a was made after b.
+func (a Announcement) Newer(b Announcement) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// same reports whether a differs from b in nothing but its sequence and load.
+func (a Announcement) same(b Announcement) bool {
+	a.Sequence = b.Sequence
+	a.Load = b.Load
+	return a == b
+}
+
+// Outcome says what an announcement changed.
+type Outcome uint8
+
+// The outcomes of an announcement.
+const (
+	// OutcomeStale: it is older than what is known.
+	OutcomeStale Outcome = iota
+	// OutcomeRenewed: it only renewed the lease.
+	OutcomeRenewed
+	// OutcomeChanged: it changed what is known of the endpoint.
+	OutcomeChanged
+	// OutcomeFull: the registry can't take another endpoint.
+	OutcomeFull
+)
+
+type record struct {
+	announcement Announcement
+	// expires is on the receiver's monotonic clock.
+	expires time.Time
+}
+
+// Registry holds announcements until their leases end. A goodbye is held too,
+// so that a late announcement can't bring the endpoint back.
+type Registry struct {
+	records map[Name]record
+}
+
+// New returns an empty registry.
+func New() *Registry { return &Registry{records: make(map[Name]record)} }
+
+// Len returns the number of endpoints, gone ones included.
+func (r *Registry) Len() int { return len(r.records) }
+
+// Announce takes an announcement in.
+func (r *Registry) Announce(now time.Time, a Announcement) Outcome {
+	old, known := r.records[a.Name]
+	switch {
+	case known && !a.Newer(old.announcement):
+		return OutcomeStale
+	case !known && len(r.records) >= MaxEndpoints:
+		return OutcomeFull
+	}
+	r.records[a.Name] = record{announcement: a, expires: now.Add(Lease)}
+	if known && a.same(old.announcement) {
+		return OutcomeRenewed
+	}
+	return OutcomeChanged
+}
+
+// Remove forgets an endpoint.
+func (r *Registry) Remove(name Name) { delete(r.records, name) }
+
+// Find returns what is known of an endpoint.
+func (r *Registry) Find(name Name) (Announcement, bool) {
+	rec, ok := r.records[name]
+	return rec.announcement, ok
+}
+
+// Expire forgets the endpoints whose leases have ended, and returns them.
+func (r *Registry) Expire(now time.Time) []Announcement {
+	var expired []Announcement
+	for name, rec := range r.records {
+		if now.Before(rec.expires) {
+			continue
+		}
+		delete(r.records, name)
+		expired = append(expired, rec.announcement)
+	}
+	slices.SortFunc(expired, compare)
+	return expired
+}
+
+// List returns the endpoints that have not said goodbye, by name. An empty
+// service lists all.
+func (r *Registry) List(service string) []Announcement {
+	return slices.DeleteFunc(r.All(service), func(a Announcement) bool { return a.Gone })
+}
+
+// All returns what was last said by each endpoint, goodbyes included.
+func (r *Registry) All(service string) []Announcement {
+	var list []Announcement
+	for _, rec := range r.records {
+		if service == "" || rec.announcement.Service == service {
+			list = append(list, rec.announcement)
+		}
+	}
+	slices.SortFunc(list, compare)
+	return list
+}
+
+func compare(a, b Announcement) int {
+	if c := strings.Compare(a.Service, b.Service); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Endpoint, b.Endpoint)
+}
--- /dev/null
+++ b/core/retrier/retrier.go
@@ -0,0 +1,92 @@
+// Package retrier decides whether a request may be tried again, hedged, or its
+// caller must be told, and how the caller is told truthfully.
+package retrier
+
+import (
+	"time"
+
+	"comfreyplank.org/core/router"
+)
+
+// MaxAttempts bounds the attempts of one call at one entry, hedges included.
+const MaxAttempts = 3
+
+// reserveTokens lets a service with little traffic retry a few times.
+const reserveTokens = 3
+
+// refillEvery gives back one token of the reserve.
+const refillEvery = 10 * time.Second
+
+// Budget bounds retries and hedges to a share of first attempts.
+type Budget struct {
+	percent int
+	// tokens is in hundredths of an attempt; 0 <= tokens <= capacity.
+	tokens   int
+	refillAt time.Time
+}
+
+const (
+	tokenUnit = 100
+	capacity  = 50 * tokenUnit
+)
+
+// NewBudget returns a budget that allows percent retries for 100 first attempts.
+func NewBudget(percent int) *Budget {
+	b := &Budget{percent: percent}
+	if percent > 0 {
+		b.tokens = reserveTokens * tokenUnit
+	}
+	return b
+}
+
+// WithPercent changes the share.
+func (b *Budget) WithPercent(percent int) *Budget {
+	b.percent = percent
+	return b
+}
+
+// First takes note of a first attempt.
+func (b *Budget) First(now time.Time) {
+	b.tokens = min(capacity, b.tokens+b.percent)
+	if b.percent > 0 && b.tokens < tokenUnit && !now.Before(b.refillAt) {
+		b.tokens += tokenUnit
+		b.refillAt = now.Add(refillEvery)
+	}
+}
+
+// Spend takes one retry from the budget, if there is one.
+func (b *Budget) Spend() bool {
+	if b.percent == 0 || b.tokens < tokenUnit {
+		return false
+	}
+	b.tokens -= tokenUnit
+	return true
+}
+
+// Proof says what is known of an attempt that brought no answer to pass on.
+type Proof uint8
+
+// The proofs of an attempt.
+const (
+	// ProofNotRun: no connection, nothing written, or an explicit refusal.
+	ProofNotRun Proof = iota + 1
+	// ProofNone: it may have run.
+	ProofNone
+)
+
+// MayRepeat reports whether a failed attempt may be followed by another. Chained
+// calls are retries of a caller higher up, and are not multiplied.
+func MayRepeat(e router.Execution, p Proof, attempts int, chained bool) bool {
+	if attempts >= MaxAttempts {
+		return false
+	}
+	if p == ProofNotRun {
+		return !chained || attempts < 2
+	}
+	return e == router.Repeatable && !chained
+}
+
+// MayHedge reports whether a second attempt may run beside the first.
+func MayHedge(e router.Execution, attempts int, chained bool) bool {
+	return e == router.Repeatable && attempts < MaxAttempts && !chained
+}
--- /dev/null
+++ b/core/subscriber/command.go
@@ -0,0 +1,78 @@
+package subscriber
+
+import (
+	"time"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/messenger"
+)
+
+// onCommand sends a command to the claims log. Releases and settlements are sent
+// again until they are answered; a claim ends with its call.
+func (s *Subscriber) onCommand(now time.Time, v Command) {
+	if len(s.commands) >= maxCommands {
+		s.decline(v)
+		return
+	}
+	if _, ok := v.Command.(claimer.Release); ok {
+		s.dropClaims(v)
+	}
+	s.lastRequest++
+	c := &command{Command: v}
+	s.commands[s.lastRequest] = c
+	s.sendCommand(now, s.lastRequest, c)
+}
+
+// dropClaims stops sending the claim of a call that is giving it up.
+func (s *Subscriber) dropClaims(v Command) {
+	for request, c := range s.commands {
+		if _, ok := c.Command.Command.(claimer.Claim); ok && c.Call == v.Call && c.Service == v.Service {
+			delete(s.commands, request)
+		}
+	}
+}
+
+func (s *Subscriber) sendCommand(now time.Time, request uint64, c *command) {
+	if !s.connected {
+		return
+	}
+	c.sentAt = now
+	s.do(Send{Message: messenger.Claiming{Request: request, Command: c.Command.Command}})
+}
+
+func (s *Subscriber) resendCommands(now time.Time) {
+	if !s.connected {
+		return
+	}
+	for request, c := range s.commands {
+		if now.Sub(c.sentAt) >= commandAgain {
+			s.sendCommand(now, request, c)
+		}
+	}
+}
+
+func (s *Subscriber) onClaimed(v messenger.Claimed) {
+	c, ok := s.commands[v.Request]
+	if !ok {
+		return
+	}
+	claim, isClaim := c.Command.Command.(claimer.Claim)
+	if v.Refused && !isClaim {
+		return // sent again by resendCommands
+	}
+	delete(s.commands, v.Request)
+	if !isClaim {
+		return
+	}
+	s.do(Decide{Service: c.Service, Decided: balancer.ClaimDecided{
+		Call: c.Call, Attempt: claim.Attempt, Refused: v.Refused, Verdict: v.Result.Verdict, Answer: v.Result.Answer,
+	}})
+}
+
+// decline answers a claim that can't be sent.
+func (s *Subscriber) decline(v Command) {
+	if claim, ok := v.Command.(claimer.Claim); ok {
+		s.do(Decide{Service: v.Service, Decided: balancer.ClaimDecided{Call: v.Call, Attempt: claim.Attempt, Refused: true}})
+	}
+}
--- /dev/null
+++ b/entry/counter/counter.go
@@ -0,0 +1,60 @@
+// Package counter keeps the entry's metrics.
+package counter
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/retrier"
+)
+
+// Counter counts calls, attempts and probes.
+type Counter struct {
+	attempts *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	probes   *prometheus.CounterVec
+	probing  *prometheus.CounterVec
+}
+
+// New returns a counter whose metrics are registered.
+func New(registry prometheus.Registerer) *Counter {
+	c := &Counter{
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_attempts_total", Help: "Attempts sent to endpoints, by service and their number within the call.",
+		}, []string{"service", "number"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_refused_total", Help: "Calls that got no answer, by service and outcome.",
+		}, []string{"service", "outcome"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_probes_total", Help: "Probes sent to endpoints, by service.",
+		}, []string{"service"}),
+		probing: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_probe_seconds_total", Help: "Endpoint time spent on probes, by service.",
+		}, []string{"service"}),
+	}
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probing)
+	return c
+}
+
+// Attempt counts an attempt. Its number is at most retrier.MaxAttempts.
+func (c *Counter) Attempt(service string, number int) {
+	c.attempts.WithLabelValues(service, strconv.Itoa(min(number, retrier.MaxAttempts))).Inc()
+}
+
+// Probe counts a probe and its time.
+func (c *Counter) Probe(service string, took time.Duration) {
+	c.probes.WithLabelValues(service).Inc()
+	c.probing.WithLabelValues(service).Add(took.Seconds())
+}
+
+// Refused counts a call without an answer.
+func (c *Counter) Refused(service string, outcome balancer.Outcome) {
+	name := "not-run"
+	if outcome == balancer.OutcomeUnknown {
+		name = "unknown"
+	}
+	c.refused.WithLabelValues(service, name).Inc()
+}
--- /dev/null
+++ b/entry/dispatcher/lane.go
@@ -0,0 +1,241 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/validator"
+	"comfreyplank.org/entry/forwarder"
+)
+
+// Surroundings are what a lane needs of the rest of the entry.
+type Surroundings struct {
+	Now func() time.Time
+	// Start runs a function in the entry's group.
+	Start func(func())
+	// Publish adds an event to the time line.
+	Publish func(recorder.Event)
+	// Claim sends a command to the claims log.
+	Claim func(service string, call balancer.CallID, command claimer.Command)
+	// Count takes note of what became of a call or an attempt.
+	Count Counter
+}
+
+// Counter counts what happens in a lane.
+type Counter interface {
+	Attempt(service string, number int)
+	Probe(service string, took time.Duration)
+	Refused(service string, outcome balancer.Outcome)
+}
+
+// verdict is what a caller's handler waits for.
+type verdict struct {
+	answer *attempt
+	replay *claimer.Answer
+	refuse *balancer.Refuse
+}
+
+// waiting is a caller's handler and the request that it brought.
+type waiting struct {
+	request forwarder.Request
+	// verdicts gets exactly one.
+	verdicts chan verdict
+}
+
+// attempt is a request on its way to an endpoint.
+type attempt struct {
+	id     balancer.AttemptID
+	cancel context.CancelFunc
+	answer *forwarder.Answer
+	// finished is closed once a handler has passed the body on, with ending set.
+	finished chan struct{}
+	ending   balancer.Ending
+}
+
+// lane drives the balancer of one service: it hands in what happens and carries
+// out what the balancer decides.
+type lane struct {
+	service   string
+	around    Surroundings
+	forwarder *forwarder.Forwarder
+
+	mu       sync.Mutex
+	machine  *balancer.Balancer
+	lastCall balancer.CallID
+	calls    map[balancer.CallID]*waiting
+	attempts map[balancer.AttemptID]*attempt
+	// addresses tells where endpoints are, for closing their connections.
+	addresses map[string]string
+}
+
+func newLane(instance string, service validator.Service, around Surroundings) *lane {
+	return &lane{
+		service:   service.Name,
+		around:    around,
+		forwarder: forwarder.New(around.Now),
+		machine:   balancer.New(instance, service),
+		calls:     make(map[balancer.CallID]*waiting),
+		attempts:  make(map[balancer.AttemptID]*attempt),
+		addresses: make(map[string]string),
+	}
+}
+
+// handle hands an input to the balancer and carries out its actions.
+func (l *lane) handle(in balancer.Input) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.carryOut(l.machine.Handle(l.around.Now(), in))
+}
+
+// arrive hands in a new call.
+func (l *lane) arrive(c balancer.Call, w *waiting) balancer.CallID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastCall++
+	c.ID = l.lastCall
+	l.calls[c.ID] = w
+	l.carryOut(l.machine.Handle(l.around.Now(), balancer.Arrived{Call: c}))
+	return c.ID
+}
+
+func (l *lane) carryOut(actions []balancer.Action) {
+	for _, a := range actions {
+		switch v := a.(type) {
+		case balancer.Dispatch:
+			l.dispatch(v)
+		case balancer.Deliver:
+			l.answerCall(v.Call, verdict{answer: l.attempts[v.Attempt]})
+		case balancer.Replay:
+			l.answerCall(v.Call, verdict{replay: &v.Answer})
+		case balancer.Refuse:
+			l.around.Count.Refused(l.service, v.Outcome)
+			l.answerCall(v.Call, verdict{refuse: &v})
+		case balancer.Cancel:
+			if t := l.attempts[v.Attempt]; t != nil {
+				t.cancel()
+			}
+		case balancer.ClaimKey:
+			l.claim(v)
+		case balancer.Probe:
+			l.probe(v)
+		case balancer.Retire:
+			l.forwarder.Retire(l.addresses[v.Endpoint])
+			delete(l.addresses, v.Endpoint)
+		case balancer.Record:
+			l.around.Publish(v.Event)
+		}
+	}
+}
+
+func (l *lane) answerCall(id balancer.CallID, v verdict) {
+	if w, ok := l.calls[id]; ok {
+		w.verdicts <- v
+	}
+}
+
+// claim leaves the lane's lock first: the claims log may answer at once.
+func (l *lane) claim(v balancer.ClaimKey) {
+	l.around.Start(func() { l.around.Claim(l.service, v.Call, v.Command) })
+}
+
+func (l *lane) dispatch(d balancer.Dispatch) {
+	w, ok := l.calls[d.Call]
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), d.Deadline)
+	t := &attempt{id: d.Attempt, cancel: cancel, finished: make(chan struct{})}
+	l.attempts[d.Attempt] = t
+	l.addresses[d.Endpoint] = d.Address
+	l.around.Count.Attempt(l.service, d.Number)
+	request := w.request
+	l.around.Start(func() { l.run(ctx, t, d, request) })
+}
+
+// run carries one attempt from its dispatch to its end.
+func (l *lane) run(ctx context.Context, t *attempt, d balancer.Dispatch, request forwarder.Request) {
+	defer t.cancel()
+	answer, ending := l.forwarder.Send(ctx, d, request)
+	if ending != balancer.EndingComplete {
+		l.end(t, ending, reportOf(answer))
+		return
+	}
+	t.answer = answer
+	if answer.Whole {
+		l.forwarder.Finish(answer, true)
+	}
+	l.handle(balancer.AnswerBegan{Attempt: t.id, Status: answer.Response.StatusCode, Report: answer.Report, Stored: storedOf(answer)})
+	if answer.Whole {
+		l.end(t, balancer.EndingComplete, balancer.Report{Load: -1})
+		return
+	}
+	l.awaitBody(ctx, t)
+}
+
+// awaitBody waits until a handler has passed the rest of the body on, or nobody
+// wants it.
+func (l *lane) awaitBody(ctx context.Context, t *attempt) {
+	select {
+	case <-t.finished:
+	case <-ctx.Done():
+		t.ending = balancer.EndingCancelled
+	}
+	l.forwarder.Finish(t.answer, t.ending == balancer.EndingComplete)
+	l.end(t, t.ending, balancer.Report{Load: -1})
+}
+
+func (l *lane) end(t *attempt, ending balancer.Ending, report balancer.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.attempts, t.id)
+	l.carryOut(l.machine.Handle(l.around.Now(), balancer.AttemptEnded{Attempt: t.id, Ending: ending, Report: report}))
+}
+
+func reportOf(a *forwarder.Answer) balancer.Report {
+	if a == nil {
+		return balancer.Report{Load: -1}
+	}
+	return a.Report
+}
+
+// storedOf returns what may be kept of an answer to a once-only request.
+func storedOf(a *forwarder.Answer) claimer.Answer {
+	stored := claimer.Answer{Status: a.Response.StatusCode}
+	if !a.Whole || len(a.Prefix) > claimer.MaxAnswerBytes {
+		return stored
+	}
+	stored.Kept = true
+	stored.ContentType = a.Response.Header.Get("Content-Type")
+	stored.Location = a.Response.Header.Get("Location")
+	stored.Body = a.Prefix
+	return stored
+}
+
+func (l *lane) probe(v balancer.Probe) {
+	l.around.Start(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), v.Deadline)
+		defer cancel()
+		start := l.around.Now()
+		report, ok := l.forwarder.Probe(ctx, v.Address)
+		took := l.around.Now().Sub(start)
+		l.around.Count.Probe(l.service, took)
+		l.handle(balancer.ProbeEnded{Endpoint: v.Endpoint, OK: ok, Took: took, Report: report})
+	})
+}
+
+func (l *lane) leaving() []messenger.Leaving {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Leaving()
+}
+
+func (l *lane) inFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.InFlight()
+}
--- /dev/null
+++ b/entry/follower/follower.go
@@ -0,0 +1,252 @@
+// Package follower keeps the entry's stream to a control replica and drives the
+// subscriber machine with what comes over it.
+package follower
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/subscriber"
+	"comfreyplank.org/entry/dispatcher"
+	"comfreyplank.org/shell/encoder"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+// outgoing is how many messages may wait to be sent on a stream.
+const outgoing = 1024
+
+const maxMessageBytes = 16 << 20
+
+// Follower drives the subscriber of an entry.
+type Follower struct {
+	now        func() time.Time
+	publish    func(recorder.Event)
+	dispatcher *dispatcher.Dispatcher
+	options    []grpc.DialOption
+	ctx        context.Context //nolint:containedctx // the life of the process, for streams opened later
+	group      *sync.WaitGroup
+
+	mu      sync.Mutex
+	machine *subscriber.Subscriber
+	// stream is the present one; messages of any other are ignored.
+	stream *stream
+}
+
+// stream is one connection to a replica.
+type stream struct {
+	cancel context.CancelFunc
+	send   chan messenger.ToControl
+}
+
+// Option sets up a follower.
+type Option func(*Follower)
+
+// WithPublish sets where events go.
+func WithPublish(publish func(recorder.Event)) Option {
+	return func(f *Follower) { f.publish = publish }
+}
+
+// New returns a follower of the replicas at the given addresses.
+func New(ctx context.Context, group *sync.WaitGroup, hello messenger.Hello, replicas []string, d *dispatcher.Dispatcher, opts ...Option) *Follower {
+	f := &Follower{
+		now:        time.Now,
+		publish:    func(recorder.Event) {},
+		dispatcher: d,
+		ctx:        ctx,
+		group:      group,
+		machine:    subscriber.New(hello, replicas),
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Run lets time pass in the subscriber until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	ticker := time.NewTicker(subscriber.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.handle(subscriber.Tick{Leaving: f.dispatcher.Leaving()})
+		}
+	}
+}
+
+// Announce takes in what an endpoint said to this entry.
+func (f *Follower) Announce(a registrar.Announcement) {
+	f.handle(subscriber.Announced{Announcement: a})
+}
+
+// Claim sends a command to the claims log.
+func (f *Follower) Claim(service string, call balancer.CallID, command claimer.Command) {
+	f.handle(subscriber.Command{Service: service, Call: call, Command: command})
+}
+
+// Ready reports whether the entry has a configuration and is in standing.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, configured := f.machine.Revision()
+	return configured && f.machine.Standing(f.now())
+}
+
+// Settled reports whether nothing waits for the claims log.
+func (f *Follower) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Settled()
+}
+
+// Revision returns the revision in force.
+func (f *Follower) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	revision, _ := f.machine.Revision()
+	return revision
+}
+
+func (f *Follower) handle(in subscriber.Input) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.carryOut(f.machine.Handle(f.now(), in))
+}
+
+// handleFrom hands in what came on a stream, unless it has been replaced.
+func (f *Follower) handleFrom(s *stream, in subscriber.Input) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stream == s {
+		f.carryOut(f.machine.Handle(f.now(), in))
+	}
+}
+
+func (f *Follower) carryOut(actions []subscriber.Action) {
+	for _, a := range actions {
+		switch v := a.(type) {
+		case subscriber.Open:
+			f.open(v.Address)
+		case subscriber.Close:
+			f.close()
+		case subscriber.Send:
+			f.send(v.Message)
+		case subscriber.Configure:
+			f.dispatcher.Configure(v.Document)
+		case subscriber.Update:
+			f.dispatcher.Handle(v.Service, v.Update)
+		case subscriber.Stand:
+			f.dispatcher.Stand(v.Until)
+		case subscriber.Grant:
+			f.dispatcher.Handle(v.Service, v.Granted)
+		case subscriber.Decide:
+			f.dispatcher.Handle(v.Service, v.Decided)
+		case subscriber.Record:
+			f.publish(v.Event)
+		}
+	}
+}
+
+func (f *Follower) close() {
+	if f.stream != nil {
+		f.stream.cancel()
+		f.stream = nil
+	}
+}
+
+func (f *Follower) open(address string) {
+	f.close()
+	ctx, cancel := context.WithCancel(f.ctx)
+	s := &stream{cancel: cancel, send: make(chan messenger.ToControl, outgoing)}
+	f.stream = s
+	f.group.Go(func() {
+		defer cancel()
+		if err := f.follow(ctx, s, address); err != nil && f.ctx.Err() == nil {
+			slog.Debug("stream to control ended", "address", address, "error", err)
+		}
+		f.handleFrom(s, subscriber.Closed{})
+	})
+}
+
+// send hands a message to the stream. One that can't keep up is closed.
+func (f *Follower) send(m messenger.ToControl) {
+	if f.stream == nil {
+		return
+	}
+	select {
+	case f.stream.send <- m:
+	default:
+		f.stream.cancel()
+	}
+}
+
+// follow opens a stream and reads it to its end.
+func (f *Follower) follow(ctx context.Context, s *stream, address string) error {
+	conn, err := grpc.NewClient(address, f.options...)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	client, err := wire.NewControlClient(conn).Follow(ctx)
+	if err != nil {
+		return err
+	}
+	f.group.Go(func() { f.write(ctx, s, client) })
+	f.handleFrom(s, subscriber.Opened{})
+	for {
+		m, err := client.Recv()
+		if err != nil {
+			return err
+		}
+		f.receive(s, m)
+	}
+}
+
+func (f *Follower) receive(s *stream, m *wire.FromControl) {
+	if m.GetAlive() != nil {
+		f.handleFrom(s, subscriber.Said{})
+		return
+	}
+	message, err := encoder.DecodeToEntry(m)
+	if err != nil {
+		slog.Warn("message from control dropped", "error", err)
+		return
+	}
+	f.handleFrom(s, subscriber.Said{Message: message})
+}
+
+// write sends what waits, until the stream ends.
+func (f *Follower) write(ctx context.Context, s *stream, client wire.Control_FollowClient) {
+	defer s.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.send:
+			encoded, err := encoder.EncodeToControl(m)
+			if err != nil {
+				slog.Warn("message to control dropped", "error", err)
+				continue
+			}
+			if client.Send(encoded) != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/shell/encoder/encoder.go
@@ -0,0 +1,88 @@
+// Package encoder turns the messages of the system's own processes into their
+// wire form and back. The wire form is generated from wire/wire.proto.
+package encoder
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreyplank.org/core/allotter"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+// ErrUnknownMessage is returned for a message of a kind that this version does
+// not know.
+var ErrUnknownMessage = errors.New("message of an unknown kind")
+
+func encodeName(n registrar.Name) *wire.Name {
+	return &wire.Name{Service: n.Service, Endpoint: n.Endpoint}
+}
+
+func decodeName(n *wire.Name) registrar.Name {
+	return registrar.Name{Service: n.GetService(), Endpoint: n.GetEndpoint()}
+}
+
+func encodeAnnouncement(a registrar.Announcement) *wire.Announcement {
+	return &wire.Announcement{
+		Name:        encodeName(a.Name),
+		Address:     a.Address,
+		DataCentre:  a.DataCentre,
+		Slots:       int64(a.Slots),
+		Connections: int64(a.Connections),
+		State:       string(a.State),
+		Incarnation: a.Incarnation,
+		Sequence:    a.Sequence,
+		Load:        int64(a.Load),
+		Gone:        a.Gone,
+	}
+}
+
+func decodeAnnouncement(a *wire.Announcement) registrar.Announcement {
+	return registrar.Announcement{
+		Name:        decodeName(a.GetName()),
+		Address:     a.GetAddress(),
+		DataCentre:  a.GetDataCentre(),
+		Slots:       int(a.GetSlots()),
+		Connections: int(a.GetConnections()),
+		State:       registrar.State(a.GetState()),
+		Incarnation: a.GetIncarnation(),
+		Sequence:    a.GetSequence(),
+		Load:        int(a.GetLoad()),
+		Gone:        a.GetGone(),
+	}
+}
+
+func encodeShare(s messenger.ServiceShare) *wire.ServiceShare {
+	return &wire.ServiceShare{
+		Service:     s.Service,
+		ProbeMicros: s.Share.ProbeMicros,
+		ProbeBytes:  s.Share.ProbeBytes,
+		LifeNanos:   int64(s.Life),
+	}
+}
+
+func decodeShare(s *wire.ServiceShare) messenger.ServiceShare {
+	return messenger.ServiceShare{
+		Service: s.GetService(),
+		Share: allotter.Share{
+			ProbeMicros: s.GetProbeMicros(),
+			ProbeBytes:  s.GetProbeBytes(),
+		},
+		Life: time.Duration(s.GetLifeNanos()),
+	}
+}
+
+// each converts the items of a list.
+func each[A, B any](list []A, convert func(A) B) []B {
+	if len(list) == 0 {
+		return nil
+	}
+	converted := make([]B, len(list))
+	for i, item := range list {
+		converted[i] = convert(item)
+	}
+	return converted
+}
--- /dev/null
+++ b/shell/encoder/entry.go
@@ -0,0 +1,126 @@
+package encoder
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/validator"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+// EncodeToControl returns the wire form of an entry's message.
+func EncodeToControl(m messenger.ToControl) (*wire.FromEntry, error) {
+	switch v := m.(type) {
+	case messenger.Hello:
+		hello := &wire.Hello{Entry: v.Entry, DataCentre: v.DataCentre, Admin: v.Admin, Revision: v.Revision}
+		return &wire.FromEntry{Message: &wire.FromEntry_Hello{Hello: hello}}, nil
+	case messenger.Beat:
+		beat := &wire.Beat{Sequence: v.Sequence, Revision: v.Revision, Leaving: each(v.Leaving, encodeLeaving)}
+		return &wire.FromEntry{Message: &wire.FromEntry_Beat{Beat: beat}}, nil
+	case messenger.Announced:
+		announced := &wire.Announced{Announcements: each(v.Announcements, encodeAnnouncement)}
+		return &wire.FromEntry{Message: &wire.FromEntry_Announced{Announced: announced}}, nil
+	case messenger.Claiming:
+		command, err := claimer.Encode(v.Command)
+		if err != nil {
+			return nil, err
+		}
+		claiming := &wire.Claiming{Request: v.Request, Command: command}
+		return &wire.FromEntry{Message: &wire.FromEntry_Claiming{Claiming: claiming}}, nil
+	}
+	return nil, ErrUnknownMessage
+}
+
+func encodeLeaving(l messenger.Leaving) *wire.Leaving {
+	return &wire.Leaving{Name: encodeName(l.Name), InFlight: int64(l.InFlight)}
+}
+
+func decodeLeaving(l *wire.Leaving) messenger.Leaving {
+	return messenger.Leaving{Name: decodeName(l.GetName()), InFlight: int(l.GetInFlight())}
+}
+
+// DecodeToControl reads an entry's message.
+func DecodeToControl(m *wire.FromEntry) (messenger.ToControl, error) {
+	switch v := m.GetMessage().(type) {
+	case *wire.FromEntry_Hello:
+		h := v.Hello
+		return messenger.Hello{Entry: h.GetEntry(), DataCentre: h.GetDataCentre(), Admin: h.GetAdmin(), Revision: h.GetRevision()}, nil
+	case *wire.FromEntry_Beat:
+		b := v.Beat
+		return messenger.Beat{Sequence: b.GetSequence(), Revision: b.GetRevision(), Leaving: each(b.GetLeaving(), decodeLeaving)}, nil
+	case *wire.FromEntry_Announced:
+		return messenger.Announced{Announcements: each(v.Announced.GetAnnouncements(), decodeAnnouncement)}, nil
+	case *wire.FromEntry_Claiming:
+		command, err := claimer.Decode(v.Claiming.GetCommand())
+		if err != nil {
+			return nil, err
+		}
+		return messenger.Claiming{Request: v.Claiming.GetRequest(), Command: command}, nil
+	}
+	return nil, ErrUnknownMessage
+}
+
+// EncodeToEntry returns the wire form of a replica's message to an entry.
+func EncodeToEntry(m messenger.ToEntry) (*wire.FromControl, error) {
+	switch v := m.(type) {
+	case messenger.Configured:
+		document, err := json.Marshal(v.Document)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode document")
+		}
+		configured := &wire.Configured{Revision: v.Revision, Document: document}
+		return &wire.FromControl{Message: &wire.FromControl_Configured{Configured: configured}}, nil
+	case messenger.BeatAnswer:
+		answer := &wire.BeatAnswer{Sequence: v.Sequence, Standing: v.Standing, Shares: each(v.Shares, encodeShare)}
+		return &wire.FromControl{Message: &wire.FromControl_BeatAnswer{BeatAnswer: answer}}, nil
+	case messenger.Endpoints:
+		endpoints := &wire.Endpoints{Full: v.Full, Changed: each(v.Changed, encodeAnnouncement), Removed: each(v.Removed, encodeName)}
+		return &wire.FromControl{Message: &wire.FromControl_Endpoints{Endpoints: endpoints}}, nil
+	case messenger.Claimed:
+		answer, err := json.Marshal(v.Result.Answer)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode stored answer")
+		}
+		claimed := &wire.Claimed{Request: v.Request, Refused: v.Refused, Verdict: uint32(v.Result.Verdict), Answer: answer}
+		return &wire.FromControl{Message: &wire.FromControl_Claimed{Claimed: claimed}}, nil
+	}
+	return nil, ErrUnknownMessage
+}
+
+// DecodeToEntry reads a replica's message to an entry.
+func DecodeToEntry(m *wire.FromControl) (messenger.ToEntry, error) {
+	switch v := m.GetMessage().(type) {
+	case *wire.FromControl_Configured:
+		var document validator.Document
+		if err := json.Unmarshal(v.Configured.GetDocument(), &document); err != nil {
+			return nil, errors.Wrap(err, "decode document")
+		}
+		return messenger.Configured{Revision: v.Configured.GetRevision(), Document: document}, nil
+	case *wire.FromControl_BeatAnswer:
+		b := v.BeatAnswer
+		return messenger.BeatAnswer{Sequence: b.GetSequence(), Standing: b.GetStanding(), Shares: each(b.GetShares(), decodeShare)}, nil
+	case *wire.FromControl_Endpoints:
+		e := v.Endpoints
+		return messenger.Endpoints{
+			Full:    e.GetFull(),
+			Changed: each(e.GetChanged(), decodeAnnouncement),
+			Removed: each[*wire.Name, registrar.Name](e.GetRemoved(), decodeName),
+		}, nil
+	case *wire.FromControl_Claimed:
+		return decodeClaimed(v.Claimed)
+	}
+	return nil, ErrUnknownMessage
+}
+
+func decodeClaimed(c *wire.Claimed) (messenger.ToEntry, error) {
+	var answer claimer.Answer
+	if err := json.Unmarshal(c.GetAnswer(), &answer); err != nil {
+		return nil, errors.Wrap(err, "decode stored answer")
+	}
+	result := claimer.Result{Verdict: claimer.Verdict(c.GetVerdict()), Answer: answer}
+	return messenger.Claimed{Request: c.GetRequest(), Refused: c.GetRefused(), Result: result}, nil
+}
--- /dev/null
+++ b/shell/encoder/peer.go
@@ -0,0 +1,176 @@
+package encoder
+
+import (
+	"time"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+// EncodeToPeer returns the wire form of a message between replicas.
+func EncodeToPeer(m messenger.ToPeer) (*wire.FromPeer, error) {
+	switch v := m.(type) {
+	case messenger.Replicated:
+		replicated, err := encodeReplicated(v)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.FromPeer{Message: &wire.FromPeer_Replicated{Replicated: replicated}}, nil
+	case messenger.Presence:
+		presence := &wire.Presence{Member: encodeMember(v.Member), Run: v.Run, Founded: v.Founded, InForce: v.InForce, Registry: v.Registry}
+		return &wire.FromPeer{Message: &wire.FromPeer_Presence{Presence: presence}}, nil
+	case messenger.EndpointNews:
+		news := &wire.EndpointNews{Announcements: each(v.Announcements, encodeAnnouncement), Renewals: each(v.Renewals, encodeRenewal)}
+		return &wire.FromPeer{Message: &wire.FromPeer_EndpointNews{EndpointNews: news}}, nil
+	case messenger.ShareRequest:
+		request := &wire.ShareRequest{Sent: int64(v.Sent), From: v.From, Run: v.Run, Entries: int64(v.Entries)}
+		return &wire.FromPeer{Message: &wire.FromPeer_ShareRequest{ShareRequest: request}}, nil
+	case messenger.ShareReply:
+		reply := &wire.ShareReply{Sent: int64(v.Sent), Run: v.Run, Shares: each(v.Shares, encodeShare)}
+		return &wire.FromPeer{Message: &wire.FromPeer_ShareReply{ShareReply: reply}}, nil
+	}
+	return nil, ErrUnknownMessage
+}
+
+// DecodeToPeer reads a message between replicas.
+func DecodeToPeer(m *wire.FromPeer) (messenger.ToPeer, error) {
+	switch v := m.GetMessage().(type) {
+	case *wire.FromPeer_Replicated:
+		return decodeReplicated(v.Replicated)
+	case *wire.FromPeer_Presence:
+		p := v.Presence
+		return messenger.Presence{Member: decodeMember(p.GetMember()), Run: p.GetRun(), Founded: p.GetFounded(), InForce: p.GetInForce(), Registry: p.GetRegistry()}, nil
+	case *wire.FromPeer_EndpointNews:
+		n := v.EndpointNews
+		return messenger.EndpointNews{Announcements: each(n.GetAnnouncements(), decodeAnnouncement), Renewals: each(n.GetRenewals(), decodeRenewal)}, nil
+	case *wire.FromPeer_ShareRequest:
+		r := v.ShareRequest
+		return messenger.ShareRequest{Sent: time.Duration(r.GetSent()), From: r.GetFrom(), Run: r.GetRun(), Entries: int(r.GetEntries())}, nil
+	case *wire.FromPeer_ShareReply:
+		r := v.ShareReply
+		return messenger.ShareReply{Sent: time.Duration(r.GetSent()), Run: r.GetRun(), Shares: each(r.GetShares(), decodeShare)}, nil
+	}
+	return nil, ErrUnknownMessage
+}
+
+func encodeMember(m replicator.Member) *wire.Member {
+	return &wire.Member{Id: string(m.ID), Name: m.Name, Address: m.Address, Voter: m.Voter}
+}
+
+func decodeMember(m *wire.Member) replicator.Member {
+	return replicator.Member{ID: replicator.ID(m.GetId()), Name: m.GetName(), Address: m.GetAddress(), Voter: m.GetVoter()}
+}
+
+func encodeRenewal(r messenger.Renewal) *wire.Renewal {
+	return &wire.Renewal{Name: encodeName(r.Name), Incarnation: r.Incarnation, Sequence: r.Sequence, Load: int64(r.Load)}
+}
+
+func decodeRenewal(r *wire.Renewal) messenger.Renewal {
+	return messenger.Renewal{Name: decodeName(r.GetName()), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Load: int(r.GetLoad())}
+}
+
+func encodeEntry(e replicator.Entry) *wire.Entry {
+	return &wire.Entry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data}
+}
+
+func decodeEntry(e *wire.Entry) replicator.Entry {
+	return replicator.Entry{Index: e.GetIndex(), Term: e.GetTerm(), Kind: replicator.EntryKind(e.GetKind()), Data: e.GetData()}
+}
+
+func encodeReplicated(v messenger.Replicated) (*wire.Replicated, error) {
+	e := v.Envelope
+	r := &wire.Replicated{Group: uint32(v.Group), From: string(e.From), To: string(e.To), Term: e.Term}
+	switch m := e.Message.(type) {
+	case replicator.VoteRequest:
+		r.Message = &wire.Replicated_VoteRequest{VoteRequest: &wire.VoteRequest{LastIndex: m.LastIndex, LastTerm: m.LastTerm, Pre: m.Pre, Handover: m.Handover}}
+	case replicator.VoteReply:
+		r.Message = &wire.Replicated_VoteReply{VoteReply: &wire.VoteReply{Granted: m.Granted, Pre: m.Pre}}
+	case replicator.Append:
+		r.Message = &wire.Replicated_Append{Append: encodeAppend(m)}
+	case replicator.AppendReply:
+		r.Message = &wire.Replicated_AppendReply{AppendReply: &wire.AppendReply{
+			Ok: m.OK, Match: m.Match, Round: int64(m.Round), Sent: int64(m.Sent), Run: m.Run, Report: m.Report,
+		}}
+	case replicator.SnapshotPiece:
+		r.Message = &wire.Replicated_SnapshotPiece{SnapshotPiece: &wire.SnapshotPiece{
+			Index: m.Index, LogTerm: m.LogTerm, Members: each(m.Members, encodeMember),
+			Offset: int64(m.Offset), Data: m.Data, Done: m.Done, Round: int64(m.Round),
+		}}
+	case replicator.SnapshotReply:
+		r.Message = &wire.Replicated_SnapshotReply{SnapshotReply: &wire.SnapshotReply{Index: m.Index, Offset: int64(m.Offset), Round: int64(m.Round)}}
+	case replicator.Forward:
+		r.Message = &wire.Replicated_Forward{Forward: &wire.Forward{Data: m.Data}}
+	case replicator.ReadRequest:
+		r.Message = &wire.Replicated_ReadRequest{ReadRequest: &wire.ReadRequest{Read: m.Read}}
+	case replicator.ReadReply:
+		r.Message = &wire.Replicated_ReadReply{ReadReply: &wire.ReadReply{Read: m.Read, Index: m.Index}}
+	case replicator.TakeOver:
+		r.Message = &wire.Replicated_TakeOver{TakeOver: &wire.TakeOver{}}
+	default:
+		return nil, ErrUnknownMessage
+	}
+	return r, nil
+}
+
+func encodeAppend(m replicator.Append) *wire.Append {
+	return &wire.Append{
+		PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, Entries: each(m.Entries, encodeEntry), Commit: m.Commit,
+		Round: int64(m.Round), Echo: int64(m.Echo), EchoRun: m.EchoRun, QuorumAge: int64(m.QuorumAge),
+	}
+}
+
+func decodeAppend(m *wire.Append) replicator.Append {
+	return replicator.Append{
+		PrevIndex: m.GetPrevIndex(), PrevTerm: m.GetPrevTerm(), Entries: each(m.GetEntries(), decodeEntry), Commit: m.GetCommit(),
+		Round: time.Duration(m.GetRound()), Echo: time.Duration(m.GetEcho()), EchoRun: m.GetEchoRun(), QuorumAge: time.Duration(m.GetQuorumAge()),
+	}
+}
+
+func decodeReplicated(r *wire.Replicated) (messenger.ToPeer, error) {
+	message, err := decodeReplicatedMessage(r)
+	if err != nil {
+		return nil, err
+	}
+	envelope := replicator.Envelope{From: replicator.ID(r.GetFrom()), To: replicator.ID(r.GetTo()), Term: r.GetTerm(), Message: message}
+	group := messenger.Group(r.GetGroup())
+	if group != messenger.GroupConfig && group != messenger.GroupClaims {
+		return nil, ErrUnknownMessage
+	}
+	return messenger.Replicated{Group: group, Envelope: envelope}, nil
+}
+
+func decodeReplicatedMessage(r *wire.Replicated) (replicator.Message, error) {
+	switch v := r.GetMessage().(type) {
+	case *wire.Replicated_VoteRequest:
+		m := v.VoteRequest
+		return replicator.VoteRequest{LastIndex: m.GetLastIndex(), LastTerm: m.GetLastTerm(), Pre: m.GetPre(), Handover: m.GetHandover()}, nil
+	case *wire.Replicated_VoteReply:
+		return replicator.VoteReply{Granted: v.VoteReply.GetGranted(), Pre: v.VoteReply.GetPre()}, nil
+	case *wire.Replicated_Append:
+		return decodeAppend(v.Append), nil
+	case *wire.Replicated_AppendReply:
+		m := v.AppendReply
+		return replicator.AppendReply{
+			OK: m.GetOk(), Match: m.GetMatch(), Round: time.Duration(m.GetRound()), Sent: time.Duration(m.GetSent()), Run: m.GetRun(), Report: m.GetReport(),
+		}, nil
+	case *wire.Replicated_SnapshotPiece:
+		m := v.SnapshotPiece
+		return replicator.SnapshotPiece{
+			Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Members: each(m.GetMembers(), decodeMember),
+			Offset: int(m.GetOffset()), Data: m.GetData(), Done: m.GetDone(), Round: time.Duration(m.GetRound()),
+		}, nil
+	case *wire.Replicated_SnapshotReply:
+		m := v.SnapshotReply
+		return replicator.SnapshotReply{Index: m.GetIndex(), Offset: int(m.GetOffset()), Round: time.Duration(m.GetRound())}, nil
+	case *wire.Replicated_Forward:
+		return replicator.Forward{Data: v.Forward.GetData()}, nil
+	case *wire.Replicated_ReadRequest:
+		return replicator.ReadRequest{Read: v.ReadRequest.GetRead()}, nil
+	case *wire.Replicated_ReadReply:
+		return replicator.ReadReply{Read: v.ReadReply.GetRead(), Index: v.ReadReply.GetIndex()}, nil
+	case *wire.Replicated_TakeOver:
+		return replicator.TakeOver{}, nil
+	}
+	return nil, ErrUnknownMessage
+}
--- /dev/null
+++ b/shell/reporter/timeline.go
@@ -0,0 +1,39 @@
+package reporter
+
+import (
+	"net/http"
+	"strconv"
+
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/shell/publisher"
+)
+
+// Timeline is the answer of a process to a question about its events.
+type Timeline struct {
+	Events []recorder.Event `json:"events"`
+	// Lost counts events that were dropped, Overwritten those that made room.
+	Lost        uint64 `json:"lost"`
+	Overwritten uint64 `json:"overwritten"`
+}
+
+// TimelineHandler serves the events of a process.
+func TimelineHandler(p *publisher.Publisher) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		JSON(w, http.StatusOK, Timeline{Events: p.Select(FilterOf(r)), Lost: p.Lost(), Overwritten: p.Overwritten()})
+	}
+}
+
+// FilterOf reads the filter of a question.
+func FilterOf(r *http.Request) recorder.Filter {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after-ms"), 10, 64)
+	count, _ := strconv.ParseUint(query.Get("after-count"), 10, 32)
+	return recorder.Filter{
+		After:    recorder.Stamp{Wall: after, Count: uint32(count)},
+		Instance: query.Get("instance"),
+		Kind:     recorder.Kind(query.Get("kind")),
+		Service:  query.Get("service"),
+		Endpoint: query.Get("endpoint"),
+		Request:  query.Get("request"),
+	}
+}
--- /dev/null
+++ b/standin/responder/responder.go
@@ -0,0 +1,341 @@
+// Package responder is a stand-in for an endpoint: it announces itself, has slots
+// and a queue, and can be told to misbehave. It keeps a record of every run.
+package responder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+)
+
+// Settings say what the endpoint announces.
+type Settings struct {
+	Service     string
+	Endpoint    string
+	Address     string
+	DataCentre  string
+	Slots       int
+	Connections int
+	// Entries are the addresses that announcements go to, in turn.
+	Entries     []string
+	AnnounceKey string
+	Behaviour   Behaviour
+	// Record gets a line with the key of each run, as it happens.
+	Record io.Writer
+}
+
+const (
+	renewalInterval = time.Second
+	announceTimeout = time.Second
+	maxRuns         = 2_000_000
+)
+
+// Responder is one stand-in endpoint.
+type Responder struct {
+	settings    Settings
+	behaviour   atomic.Pointer[Behaviour]
+	started     time.Time
+	incarnation uint64
+	listener    *listener
+	server      *http.Server
+
+	slots    chan struct{}
+	load     atomic.Int64
+	queued   atomic.Int64
+	sequence atomic.Uint64
+	history  history
+
+	mu sync.Mutex
+	// runs counts how often each request was run, by its key.
+	runs map[string]int
+	next int
+}
+
+// New returns a stand-in endpoint that listens at its address.
+func New(s Settings) (*Responder, error) {
+	raw, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s.Address = raw.Addr().String()
+	r := &Responder{
+		settings:    s,
+		started:     time.Now(),
+		incarnation: uint64(time.Now().UnixNano()),
+		listener:    newListener(raw),
+		slots:       make(chan struct{}, s.Slots),
+		runs:        make(map[string]int),
+	}
+	r.behaviour.Store(&s.Behaviour)
+	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: announceTimeout, IdleTimeout: time.Minute}
+	return r, nil
+}
+
+// Address returns where the endpoint listens.
+func (r *Responder) Address() string { return r.settings.Address }
+
+// Run serves and announces until the context ends, then says goodbye.
+func (r *Responder) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { _ = r.server.Serve(r.listener) }) // ends with the server
+	r.announceUntil(ctx)
+	goodbye, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	r.announce(goodbye, http.MethodDelete)
+	_ = r.server.Close() // a stand-in may cut connections
+	group.Wait()
+}
+
+func (r *Responder) announceUntil(ctx context.Context) {
+	ticker := time.NewTicker(renewalInterval)
+	defer ticker.Stop()
+	for {
+		r.announce(ctx, http.MethodPut)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Set replaces the behaviour and announces it.
+func (r *Responder) Set(ctx context.Context, b Behaviour) {
+	r.behaviour.Store(&b)
+	r.announce(ctx, http.MethodPut)
+}
+
+// Silence makes the connections that are open go silent.
+func (r *Responder) Silence() int { return r.listener.silence() }
+
+// Runs returns how often each key was run.
+func (r *Responder) Runs() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := make(map[string]int, len(r.runs))
+	for key, n := range r.runs {
+		runs[key] = n
+	}
+	return runs
+}
+
+// Load returns the number of requests running or waiting.
+func (r *Responder) Load() int { return int(r.load.Load()) }
+
+func (r *Responder) state() string {
+	if r.behaviour.Load().Draining {
+		return "draining"
+	}
+	return "serving"
+}
+
+// announcement is the body of an announcement.
+type announcement struct {
+	Address     string `json:"address"`
+	DataCentre  string `json:"data-centre"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	Load        int    `json:"load"`
+}
+
+// announce tries the entries in turn until one takes it.
+func (r *Responder) announce(ctx context.Context, method string) {
+	body, err := json.Marshal(announcement{
+		Address: r.settings.Address, DataCentre: r.settings.DataCentre, Slots: r.settings.Slots,
+		Connections: r.settings.Connections, State: r.state(), Incarnation: r.incarnation,
+		Sequence: r.sequence.Add(1), Load: r.Load(),
+	})
+	if err != nil {
+		return
+	}
+	for range r.settings.Entries {
+		r.mu.Lock()
+		entry := r.settings.Entries[r.next%len(r.settings.Entries)]
+		r.next++
+		r.mu.Unlock()
+		if r.announceTo(ctx, method, entry, body) {
+			return
+		}
+	}
+}
+
+func (r *Responder) announceTo(ctx context.Context, method, entry string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/comfreyplank/v1/services/%s/endpoints/%s", entry, r.settings.Service, r.settings.Endpoint)
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+r.settings.AnnounceKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, response.Body) // for the connection's sake
+	_ = response.Body.Close()                 // read to its end
+	return response.StatusCode == http.StatusOK
+}
+
+func (r *Responder) handler() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/comfreyplank/v1/probe", r.probe)
+	router.Post("/stand-in/behaviour", r.setBehaviour)
+	router.Post("/stand-in/silence", r.silence)
+	router.Get("/stand-in/runs", r.listRuns)
+	router.Get("/stand-in/connections", r.connections)
+	router.NotFound(r.work)
+	router.MethodNotAllowed(r.work)
+	return router
+}
+
+func (r *Responder) setBehaviour(w http.ResponseWriter, req *http.Request) {
+	b := *r.behaviour.Load()
+	if err := json.NewDecoder(req.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Set(req.Context(), b)
+}
+
+func (r *Responder) silence(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, r.Silence()) // goes silent itself
+}
+
+func (r *Responder) listRuns(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(r.Runs()) // the asker may have gone
+}
+
+func (r *Responder) connections(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, r.listener.open()) // the asker may have gone
+}
+
+func (r *Responder) probe(w http.ResponseWriter, _ *http.Request) {
+	b := r.behaviour.Load()
+	time.Sleep(time.Duration(b.ServiceMs * float64(time.Millisecond)))
+	r.report(w)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// report sets the load header, as late and as wrong as the behaviour says.
+func (r *Responder) report(w http.ResponseWriter) {
+	b := r.behaviour.Load()
+	load := r.history.at(time.Now().Add(-time.Duration(b.LoadDelayMs)*time.Millisecond), r.Load())
+	value := "load=" + strconv.Itoa(max(0, load+b.LoadOffset))
+	if !b.NoState {
+		value += ", state=" + r.state()
+	}
+	w.Header().Set("Endpoint-Load-Metrics", value)
+}
+
+func (r *Responder) refuse(w http.ResponseWriter) {
+	r.report(w)
+	w.Header().Set("Comfreyplank-Outcome", "not-run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// work runs a request: it waits for a slot, is busy for the service time, and
+// answers with what it was asked.
+func (r *Responder) work(w http.ResponseWriter, req *http.Request) {
+	b := r.behaviour.Load()
+	switch {
+	case b.FailFast:
+		r.report(w)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case b.Shed:
+		r.refuse(w)
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	if r.queued.Add(1) > int64(b.QueueLimit+r.settings.Slots) {
+		r.queued.Add(-1)
+		r.refuse(w)
+		return
+	}
+	r.history.note(time.Now(), int(r.load.Add(1)))
+	defer r.queued.Add(-1)
+	defer r.leave()
+	if !r.run(req, *b) {
+		return
+	}
+	r.answer(w, req, *b, body)
+}
+
+// leave counts a request out, before its answer is sent.
+func (r *Responder) leave() { r.history.note(time.Now(), int(r.load.Add(-1))) }
+
+// run holds a slot for the service time. A request cancelled while it waits is not
+// run.
+func (r *Responder) run(req *http.Request, b Behaviour) bool {
+	select {
+	case r.slots <- struct{}{}:
+	case <-req.Context().Done():
+		return false
+	}
+	defer func() { <-r.slots }()
+	r.count(req)
+	random := rand.ExpFloat64()
+	select {
+	case <-time.After(b.serviceTime(time.Since(r.started), random)):
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
+func (r *Responder) count(req *http.Request) {
+	key := req.Header.Get("Idempotency-Key")
+	if key == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.runs) < maxRuns {
+		r.runs[key]++
+	}
+	if r.settings.Record != nil {
+		_, _ = fmt.Fprintln(r.settings.Record, key) // the reader finds it missing
+	}
+}
+
+// answer echoes the caller's mark and body, and as many bytes more as were asked
+// for.
+func (r *Responder) answer(w http.ResponseWriter, req *http.Request, b Behaviour, body []byte) {
+	size, _ := strconv.Atoi(req.URL.Query().Get("bytes"))
+	text := []byte(fmt.Sprintf("%s %s %s\n", r.settings.Endpoint, req.Header.Get("X-Mark"), body))
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+size))
+	r.reportLeaving(w)
+	if b.HalfAnswer {
+		_, _ = w.Write(text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(text)                            // the asker may have gone
+	_, _ = w.Write(bytes.Repeat([]byte{'x'}, size)) // the asker may have gone
+}
+
+// reportLeaving reports the load without the request that is being answered.
+func (r *Responder) reportLeaving(w http.ResponseWriter) {
+	r.load.Add(-1)
+	r.report(w)
+	r.load.Add(1)
+}
