Drive replicas, entries and balancers together under virtual time

Cause: the promises that span processes (nothing older than what is in force at an entry in standing, one run for a key, shares within the budget) had no proof. Change: a virtual-time test drives three to seven controllers, entries and balancers with loss, partitions, crashes, lost disks and operator races, and asserts the promises after each step; a tool compares policies in virtual time. Found and mended: a leader counted a change as in force in the very step in which it removed a replica, whose entries could still be in standing at the revision before (random run); changes of membership were proposed again and again for a learner that had not caught up; seven replicas took over 6 s to join.

--- a/bench/main.go
+++ b/bench/main.go
@@ -23,6 +23,7 @@
 	defer cancel()
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	mustAdd(parser, "load", "Send an open-loop load", &loadCommand{ctx: ctx})
+	mustAdd(parser, "compare", "Compare ways to choose endpoints, in virtual time", &compareCommand{})
 	_, err := parser.Parse()
 	var usage *flags.Error
 	switch {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -114,10 +114,8 @@
 // WithRand sets the source of randomness.
 func WithRand(source *rand.Rand) Option { return func(b *Balancer) { b.rand = source } }
 
-// WithPolicy sets how endpoints are chosen.
-func WithPolicy(p picker.Policy) Option {
-	return func(b *Balancer) { b.picker = picker.New(picker.WithPolicy(p)) }
-}
+// WithPicker sets how endpoints are chosen.
+func WithPicker(p *picker.Picker) Option { return func(b *Balancer) { b.picker = p } }
 
 // WithRetention sets how long once-only keys are kept.
 func WithRetention(d time.Duration) Option { return func(b *Balancer) { b.retention = d } }
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -271,6 +271,10 @@
 		c.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	c.run = c.rand.Uint64()
+	if len(disk.Config.Snapshot.Members) > 0 {
+		// A replica may have been removed just before this process started.
+		c.departedUntil = now.Add(silentAfter)
+	}
 	if err := c.load(now, disk); err != nil {
 		return nil, err
 	}
@@ -341,6 +345,7 @@
 	c.config.replica.Tick(now)
 	c.claims.replica.Tick(now)
 	c.found(now)
+	c.admitPeers(now)
 	c.sayPresence(now)
 	c.expireEndpoints(now)
 	c.expireEntries(now)
--- /dev/null
+++ b/core/controller/controller_test.go
@@ -0,0 +1,328 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/controller"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
+)
+
+// leavingBound is the longest that a leaving endpoint may get new work while the
+// network is whole. Under random faults an announcement may itself be stuck behind
+// a partition, so there the bound starts anew with each announcement.
+const leavingBound = 3 * time.Second
+
+func (s *system) status(request uint64) controller.ApplyStatus {
+	for _, a := range s.answers {
+		if a.Request == request {
+			return a.Status
+		}
+	}
+	return 0
+}
+
+func ready(t *testing.T, controls, entries int) *system {
+	s := newSystem(t, controls, entries, 1)
+	s.run(5 * time.Second)
+	assert.Assert(t, s.leader() != nil)
+	s.apply(s.leader(), document(0, "first"))
+	s.run(time.Second)
+	assert.Equal(t, s.status(1), controller.ApplyInForce)
+	return s
+}
+
+func TestChangeIsInForceAtEveryEntry(t *testing.T) {
+	for _, controls := range []int{1, 3, 5, 7} {
+		s := ready(t, controls, 4)
+		for _, e := range s.entries {
+			assert.Equal(t, e.revision, uint64(1), "%s with %d replicas", e.name, controls)
+			assert.Assert(t, e.machine.Standing(s.now))
+		}
+	}
+}
+
+func TestSecondChangeWithSameBaseLoses(t *testing.T) {
+	s := ready(t, 3, 2)
+	s.apply(s.controls[0], document(1, "a"))
+	s.apply(s.controls[1], document(1, "b"))
+	s.run(time.Second)
+	assert.Equal(t, len(s.answers), 3)
+	statuses := []controller.ApplyStatus{s.status(2), s.status(3)}
+	assert.Assert(t, statuses[0] != statuses[1])
+	for _, a := range s.answers[1:] {
+		if a.Status == controller.ApplyRefused {
+			assert.Equal(t, a.Answer.Winner, s.winners[1])
+		}
+	}
+}
+
+func TestRepeatedChangeGetsFirstAnswerAfterManyOthers(t *testing.T) {
+	s := ready(t, 3, 1)
+	for i := uint64(1); i <= 600; i++ {
+		s.apply(s.leader(), document(i, fmt.Sprint("change-", i)))
+		s.run(10 * step)
+	}
+	for _, c := range s.controls {
+		s.crash(c)
+		s.start(c)
+	}
+	s.run(5 * time.Second)
+	s.apply(s.controls[2], document(5, "change-5"))
+	s.run(time.Second)
+	last := s.answers[len(s.answers)-1]
+	assert.Equal(t, last.Status, controller.ApplyInForce)
+	assert.Equal(t, last.Answer.Revision, uint64(6))
+	revision, _ := s.controls[2].machine.Document()
+	assert.Equal(t, revision, uint64(601))
+}
+
+func TestChangeWaitsForEntryThatIsCutOffUntilItsStandingEnds(t *testing.T) {
+	s := ready(t, 3, 3)
+	s.isolate(s.entries[0].name, true)
+	s.apply(s.leader(), document(1, "second"))
+	s.run(500 * time.Millisecond)
+	assert.Equal(t, s.status(2), controller.ApplyStatus(0))
+	s.run(4 * time.Second)
+	assert.Equal(t, s.status(2), controller.ApplyInForce)
+	assert.Assert(t, !s.entries[0].machine.Standing(s.now))
+}
+
+func TestEntryLeavesReplicaBehindPartition(t *testing.T) {
+	s := ready(t, 3, 6)
+	lost := s.leader()
+	// Only the links between replicas are cut: the entries still reach it.
+	for _, c := range s.controls {
+		if c != lost {
+			s.cut[[2]string{lost.name, c.name}] = true
+			s.cut[[2]string{c.name, lost.name}] = true
+		}
+	}
+	s.run(4 * time.Second)
+	for _, e := range s.entries {
+		assert.Assert(t, e.machine.Standing(s.now), e.name)
+		assert.Assert(t, e.peer != lost, e.name)
+	}
+	status := lost.machine.Status(s.now)
+	assert.Assert(t, !status.HearsMajority)
+	s.apply(lost, document(1, "lost"))
+	s.run(9 * time.Second)
+	assert.Assert(t, s.status(2) == controller.ApplyNotTaken || s.status(2) == controller.ApplyUnknown)
+}
+
+func TestColdEntryTakesNothingFromReplicaThatIsBehind(t *testing.T) {
+	s := ready(t, 3, 2)
+	behind := s.controls[0]
+	for _, c := range s.controls[1:] {
+		s.cut[[2]string{behind.name, c.name}] = true
+		s.cut[[2]string{c.name, behind.name}] = true
+	}
+	s.run(5 * time.Second)
+	s.apply(s.leader(), document(1, "second"))
+	s.run(time.Second)
+	assert.Equal(t, s.status(2), controller.ApplyInForce)
+	e := s.entries[0]
+	s.crashEntry(e)
+	s.startEntry(e)
+	for _, c := range s.controls[1:] {
+		s.cut[[2]string{e.name, c.name}] = true
+	}
+	s.run(5 * time.Second)
+	assert.Equal(t, e.revision, uint64(0))
+	assert.Assert(t, !e.machine.Standing(s.now))
+}
+
+func TestLosingAReplicaRightAfterARepairLosesNothing(t *testing.T) {
+	s := ready(t, 3, 2)
+	wiped := s.controls[0]
+	s.crash(wiped)
+	s.wipe(wiped)
+	s.start(wiped)
+	s.run(4 * time.Second)
+	members := s.leader().machine.Status(s.now).Members
+	assert.Equal(t, members.Voters(), 3)
+	second := s.leader()
+	if second == wiped {
+		second = s.controls[1]
+	}
+	s.crash(second)
+	s.run(6 * time.Second)
+	s.apply(wiped, document(1, "after"))
+	s.run(5 * time.Second)
+	assert.Equal(t, s.status(2), controller.ApplyInForce)
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	s := ready(t, 3, 4)
+	s.run(2 * time.Second)
+	s.leave(s.backends[0], s.entries[0])
+	for range 600 {
+		s.call(s.entries[s.rand.IntN(4)], "", time.Second)
+		s.step()
+	}
+	assert.Assert(t, s.answered > 500)
+}
+
+func TestStopByDocumentTakesEffectAtItsTime(t *testing.T) {
+	s := ready(t, 3, 2)
+	s.run(2 * time.Second)
+	at := s.now.Add(2 * time.Second)
+	s.apply(s.leader(), document(1, "stop").WithStop(validator.Stop{Service: serviceName, Endpoint: "b1", At: at}))
+	s.run(time.Second)
+	assert.Equal(t, len(s.entries[0].balancer.Leaving()), 0)
+	s.run(2 * time.Second)
+	for _, e := range s.entries {
+		leaving := e.balancer.Leaving()
+		assert.Equal(t, len(leaving), 1)
+		assert.Equal(t, leaving[0].Name.Endpoint, "b1")
+	}
+}
+
+func TestStopOfLastEndpointIsRefused(t *testing.T) {
+	s := ready(t, 3, 1)
+	s.run(2 * time.Second)
+	doc := document(1, "stop-all")
+	for _, b := range s.backends {
+		doc = doc.WithStop(validator.Stop{Service: serviceName, Endpoint: b.name})
+	}
+	s.apply(s.leader(), doc)
+	assert.Equal(t, s.status(2), controller.ApplyRefused)
+	assert.Equal(t, len(s.answers[1].Problems), 3)
+}
+
+func TestOnceOnlyIsAnsweredFromStoreOnAnyEntry(t *testing.T) {
+	s := ready(t, 3, 2)
+	s.run(time.Second)
+	s.call(s.entries[0], "pledge", time.Second)
+	s.call(s.entries[1], "pledge", time.Second)
+	s.run(time.Second)
+	assert.Equal(t, s.answered, 1) // the stand-in's answers are not kept
+	assert.Equal(t, s.runs["pledge"], 1)
+	s.call(s.entries[1], "pledge", time.Second)
+	s.run(time.Second)
+	assert.Equal(t, s.runs["pledge"], 1)
+}
+
+func TestSharesStayWithinBudgetWhileEntriesComeAndGo(t *testing.T) {
+	s := ready(t, 3, 5)
+	s.run(20 * time.Second)
+	held := 0
+	for _, e := range s.entries {
+		for _, g := range e.grants {
+			if g.Share.ProbeMicros > 0 && s.now.Before(g.Until) {
+				held++
+			}
+		}
+	}
+	assert.Equal(t, held, 5)
+	for range 6 {
+		s.crash(s.leader())
+		s.crashEntry(s.entries[s.rand.IntN(5)])
+		s.run(7 * time.Second)
+		s.heal()
+		s.run(7 * time.Second)
+	}
+}
+
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSystem(rt, rapid.SampledFrom([]int{3, 3, 5}).Draw(rt, "controls"), 3, rapid.Uint64().Draw(rt, "seed"))
+		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(rt, "loss")
+		s.run(4 * time.Second)
+		for i := range rapid.IntRange(5, 40).Draw(rt, "steps") {
+			s.disturb(rt, i)
+			s.run(time.Duration(rapid.IntRange(1, 120).Draw(rt, "pause")) * step)
+		}
+		s.heal()
+		s.run(15 * time.Second)
+		if s.leader() == nil {
+			rt.Fatalf("no leader after the network healed")
+		}
+		revision, _ := s.leader().machine.Document()
+		s.apply(s.leader(), document(revision, "last"))
+		s.run(8 * time.Second)
+		if s.status(s.lastRequest) != controller.ApplyInForce {
+			rt.Fatalf("no change is accepted after the network healed")
+		}
+	})
+}
+
+func (s *system) disturb(rt *rapid.T, i int) {
+	c := s.controls[rapid.IntRange(0, len(s.controls)-1).Draw(rt, "control")]
+	d := s.controls[rapid.IntRange(0, len(s.controls)-1).Draw(rt, "other")]
+	e := s.entries[rapid.IntRange(0, len(s.entries)-1).Draw(rt, "entry")]
+	b := s.backends[rapid.IntRange(0, len(s.backends)-1).Draw(rt, "backend")]
+	switch rapid.IntRange(0, 13).Draw(rt, "fault") {
+	case 0, 1:
+		revision, _ := c.machine.Document()
+		s.apply(c, document(revision, fmt.Sprint("change-", i)))
+	case 2:
+		if doc, ok := s.applied[rapid.Uint64Range(1, s.lastRequest+1).Draw(rt, "again")]; ok {
+			s.apply(c, doc)
+		}
+	case 3:
+		s.crash(c)
+	case 4:
+		if !c.up {
+			s.start(c)
+		}
+	case 5:
+		s.replace(c)
+	case 6:
+		s.cut[[2]string{c.name, d.name}] = c != d && rapid.Bool().Draw(rt, "cut")
+	case 7:
+		s.isolate(c.name, rapid.Bool().Draw(rt, "on"))
+	case 8:
+		s.isolate(e.name, rapid.Bool().Draw(rt, "on"))
+	case 9:
+		s.crashEntry(e)
+		s.startEntry(e)
+	case 10, 11, 12:
+		s.load(rt)
+	case 13:
+		b.outcome = rapid.SampledFrom([]balancer.Ending{balancer.EndingComplete, balancer.EndingLost, balancer.EndingNotSent, balancer.EndingRefused}).Draw(rt, "outcome")
+	}
+}
+
+// replace gives a replica a new disk, once every earlier loss has been repaired: a
+// group that loses two disks of three at once has lost data, whatever it does.
+func (s *system) replace(c *control) {
+	lead := s.leader()
+	if lead == nil || lead == c {
+		return
+	}
+	status := lead.machine.Status(s.now)
+	for _, other := range s.controls {
+		if !votes(status.Members, other.id) || !votes(status.ClaimsMembers, other.id) {
+			return
+		}
+	}
+	s.crash(c)
+	s.wipe(c)
+	s.start(c)
+}
+
+func votes(members replicator.Membership, id replicator.ID) bool {
+	m, ok := members.Find(id)
+	return ok && m.Voter
+}
+
+// load sends calls with few keys to all entries at once.
+func (s *system) load(rt *rapid.T) {
+	for range rapid.IntRange(1, 8).Draw(rt, "calls") {
+		e := s.entries[rapid.IntRange(0, len(s.entries)-1).Draw(rt, "at")]
+		key := ""
+		if rapid.Bool().Draw(rt, "once") {
+			key = fmt.Sprint("key-", rapid.IntRange(0, 5).Draw(rt, "key"))
+		}
+		s.call(e, key, time.Duration(rapid.IntRange(1, 200).Draw(rt, "timeout"))*step)
+	}
+	s.backends[0].state = registrar.StateServing
+}
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -135,8 +137,19 @@
 	c.inForce = max(c.inForce, min(v.InForce, c.committer.Revision()))
 	c.answerApplies(now)
 	c.compareRegistry(p, v.Registry, fresh)
-	for _, id := range messenger.Groups {
-		c.admit(now, c.group(id), p)
+}
+
+// admitPeers takes in the replicas that are there, as fast as one change of
+// membership at a time allows.
+func (c *Controller) admitPeers(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(c.presence)) {
+		p := c.presence[name]
+		if now.Sub(p.heard) > replicator.DefaultElectionMax+presenceInterval {
+			continue
+		}
+		for _, id := range messenger.Groups {
+			c.admit(now, c.group(id), p)
+		}
 	}
 }
 
@@ -163,12 +176,12 @@
 
 // promote gives a member that has caught up its vote, or its new address.
 func (c *Controller) promote(now time.Time, g *group, m replicator.Member, address string) {
-	if m.Voter && m.Address == address {
-		return
+	next := m
+	next.Address = address
+	next.Voter = m.Voter || g.replica.Match(m.ID) >= g.replica.Commit()
+	if next != m {
+		c.change(now, g, g.replica.Members().With(next))
 	}
-	m.Address = address
-	m.Voter = m.Voter || g.replica.Match(m.ID) >= g.replica.Commit()
-	c.change(now, g, g.replica.Members().With(m))
 }
 
 func (c *Controller) change(now time.Time, g *group, next replicator.Membership) {
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -145,6 +145,7 @@
 // updateInForce tells the leader what is in force here, and as leader finds what
 // is in force everywhere.
 func (c *Controller) updateInForce(now time.Time) {
+	c.noteMembers(now)
 	own := c.ownInForce(now)
 	c.config.replica.SetReport(own)
 	if !c.leads() || !c.hearsMajority(now) || now.Before(c.departedUntil) {
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -24,6 +24,7 @@
 	InForce       uint64                   `json:"in-force-everywhere"`
 	Claims        int                      `json:"claims"`
 	Members       replicator.Membership    `json:"members"`
+	ClaimsMembers replicator.Membership    `json:"claims-members"`
 	Entries       []EntryStatus            `json:"entries"`
 	Endpoints     []registrar.Announcement `json:"endpoints"`
 }
@@ -50,6 +51,7 @@
 		InForce:       c.inForce,
 		Claims:        c.claimer.Len(),
 		Members:       c.config.replica.Members(),
+		ClaimsMembers: c.claims.replica.Members(),
 		Endpoints:     c.registry.List(""),
 	}
 	for _, e := range c.entries {
