Choose by own work first, and trust reports little

Cause: with 16 entries on 12 endpoints the adaptive choice lost to plain least-in-flight: three endpoints compared of twelve hid free ones, a charge for full slots drove work to an endpoint that lied, and the typical latency, weighted by traffic, was that of the liar itself. Reports 200 ms late made all entries flee and return together. Change: twelve endpoints compared, no charge for full slots, the median of the endpoints' latencies as the typical one, slowness that fades within a second, a tenth of the weight for others' work, counted up to the slots.

--- a/bench/experimenter/endpoint.go
+++ b/bench/experimenter/endpoint.go
@@ -46,7 +46,9 @@
 func (x *experiment) failing(e *endpoint) bool { return e.index < x.run.Scenario.Failing }
 
 func (x *experiment) dispatch(e *entry, d balancer.Dispatch) {
-	x.result.Attempts++
+	if x.measured(x.now) {
+		x.result.Attempts++
+	}
 	w := &work{entry: e, attempt: d.Attempt}
 	e.work[d.Attempt] = w
 	var target *endpoint
--- a/bench/experimenter/experiment.go
+++ b/bench/experimenter/experiment.go
@@ -85,10 +85,11 @@
 	endpointQueue    = 100
 	queueLimit       = 200
 	warmUp           = 2 * time.Second
-	// Speeds change this often, between these bounds, when a scenario shifts load.
+	// Service times change this often, between these factors of the mean, when a
+	// scenario shifts load.
 	shiftInterval = 5 * time.Millisecond
-	shiftLow      = 0.6
-	shiftHigh     = 2.5
+	shiftLow      = 0.2
+	shiftHigh     = 1.8
 	coldTime      = 3 * time.Second
 	serviceName   = "service"
 )
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -243,7 +243,7 @@
 	a.answered = true
 	latency := now.Sub(a.start)
 	b.reported(now, a.endpoint, v.Report, len(a.endpoint.flights)-1)
-	b.measure(a.endpoint, v.Report, latency)
+	b.measure(now, a.endpoint, v.Report, latency)
 	if c := a.call; c != nil && b.retryStatus(now, c, a, v.Status) {
 		return
 	}
@@ -260,8 +260,8 @@
 }
 
 // measure takes the latency of an answer into the averages.
-func (b *Balancer) measure(e *endpoint, r Report, latency time.Duration) {
-	b.candidates[e.at].Answered(latency)
+func (b *Balancer) measure(now time.Time, e *endpoint, r Report, latency time.Duration) {
+	b.candidates[e.at].Answered(now, latency)
 	b.picker.Observe(latency, r.Load, e.Slots)
 	b.quantile.observe(latency)
 }
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -165,6 +165,7 @@
 
 // review recomputes what the choice may use.
 func (b *Balancer) review(now time.Time) {
+	b.picker.Review(b.candidates)
 	for i, e := range b.endpoints {
 		b.reviewOne(now, i, e)
 	}
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -1,23 +1,29 @@
 // Package picker chooses the endpoint that gets the next request.
 //
-// The only fresh signal is what this entry itself has in flight. Reports of load
-// are corrected by the work sent since and discounted by their age. Among a few
-// endpoints drawn at random, one with a free slot is preferred, then the one with
-// the least load for its slots, then the faster one.
+// The only fresh signal is what this entry itself has in flight: a slow endpoint
+// shows in it at once, whatever it reports. Among some endpoints drawn at random
+// the one with the lowest score is chosen: its own requests in flight against its
+// slots, a little of what it reported of others' work, and how much slower than
+// typical it has been. An endpoint whose oldest request is in flight for far longer
+// than is typical comes last.
 package picker
 
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
 // Tuning of the choice.
 const (
 	// DefaultChoices is how many endpoints are compared.
-	DefaultChoices = 3
+	DefaultChoices = 12
+	// othersWeight is what others' work counts against our own. Entries that all
+	// trust the same reports follow each other to the same endpoint.
+	othersWeight = 0.1
 	// reportLife is the time in which a report loses most of its weight.
-	reportLife = 40 * time.Millisecond
+	reportLife = 20 * time.Millisecond
 	// warmUp is the time over which an endpoint that starts gets its full share.
 	warmUp = 10 * time.Second
 	// coldShare is the share of its slots that an endpoint counts with at first.
@@ -27,13 +33,22 @@
 	stragglerFactor = 4
 	// stragglerFloor is the shortest time that makes a straggler.
 	stragglerFloor = 20 * time.Millisecond
-	// farPenalty is the load, as a share of the slots, that an endpoint of another
-	// data centre is charged.
-	farPenalty = 0.25
+	// stragglerCharge puts a straggler behind every other endpoint.
+	stragglerCharge = 100
+	// farCharge is the load, as a share of the slots, that an endpoint of another
+	// data centre is charged: work spills there as the own one fills.
+	farCharge = 0.25
 	// latencySmoothing is the weight of a new sample in the average.
 	latencySmoothing = 0.1
-	// latencyWeight scales how much relative latency moves the score.
-	latencyWeight = 0.5
+	// slownessWeight is what being slower than typical by one typical latency
+	// counts, as a share of the slots.
+	slownessWeight = 0.5
+	// slownessMax bounds the slowness.
+	slownessMax = 20
+	// slownessLife is the time in which a latency loses most of its weight.
+	slownessLife = time.Second
+	// pressureSmoothing is the weight of a new sample in the average pressure.
+	pressureSmoothing = 0.025
 )
 
 // Policy decides how an endpoint is chosen: a type switch over its kinds.
@@ -78,6 +93,7 @@
 	// Latency is a moving average of answers; zero before the first.
 	Latency time.Duration
 
+	latencyAt time.Time
 	// others is the part of the latest report that is not our own work.
 	others   int
 	reportAt time.Time
@@ -99,7 +115,8 @@
 }
 
 // Answered takes in the latency of an answer.
-func (c *Candidate) Answered(latency time.Duration) {
+func (c *Candidate) Answered(now time.Time, latency time.Duration) {
+	c.latencyAt = now
 	if c.Latency == 0 {
 		c.Latency = latency
 		return
@@ -107,16 +124,29 @@
 	c.Latency += time.Duration(latencySmoothing * float64(latency-c.Latency))
 }
 
-// load estimates how many requests the endpoint has, those of other entries
-// included. Without a fresh report, others are taken to be as at the average.
+// slowness is how much longer than typical the endpoint takes, as a share of it.
+// What was seen long ago counts less, so that an endpoint gets another chance.
+func (c *Candidate) slowness(now time.Time, typical time.Duration) float64 {
+	if typical <= 0 || c.Latency == 0 {
+		return 0
+	}
+	fade := math.Exp(-float64(now.Sub(c.latencyAt)) / float64(slownessLife))
+	return math.Min(float64(c.Latency)/float64(typical)-1, slownessMax) * fade
+}
+
+// load is our own work at the endpoint and a little of what others have there.
+// Without a fresh report, others are taken to be as at the average. A report counts
+// up to the slots only: entries that all flee from the same late report come back
+// together as well.
 func (c *Candidate) load(now time.Time, average float64) float64 {
 	own := float64(c.InFlight)
 	prior := math.Max(0, average*float64(c.Slots)-own)
 	if c.reportAt.IsZero() {
-		return own + prior
+		return own + othersWeight*prior
 	}
 	trust := math.Exp(-float64(now.Sub(c.reportAt)) / float64(reportLife))
-	return own + trust*float64(c.others) + (1-trust)*prior
+	others := float64(min(c.others, c.Slots))
+	return own + othersWeight*(trust*others+(1-trust)*prior)
 }
 
 // effectiveSlots grows from a share of the slots to all of them while the
@@ -136,10 +166,11 @@
 	policy Policy
 	rand   *rand.Rand
 	turn   int
-	// typical is a moving average of the latency over all endpoints.
+	// typical is the median of the endpoints' latencies.
 	typical time.Duration
 	// pressure is a moving average of load against slots, from reports.
 	pressure float64
+	sorted   []time.Duration
 }
 
 // Option sets up a picker.
@@ -163,9 +194,25 @@
 	return k
 }
 
-// Typical returns the moving average of the latency over all endpoints.
+// Typical returns the median of the endpoints' latencies.
 func (k *Picker) Typical() time.Duration { return k.typical }
 
+// Review takes the median of the endpoints' latencies for the typical one, so that
+// one endpoint with much traffic can't shift it.
+func (k *Picker) Review(list []Candidate) {
+	k.sorted = k.sorted[:0]
+	for i := range list {
+		if list[i].Latency > 0 {
+			k.sorted = append(k.sorted, list[i].Latency)
+		}
+	}
+	if len(k.sorted) == 0 {
+		return
+	}
+	slices.Sort(k.sorted)
+	k.typical = k.sorted[len(k.sorted)/2]
+}
+
 // Pressure returns the moving average of load against slots over all endpoints.
 func (k *Picker) Pressure() float64 { return k.pressure }
 
@@ -174,9 +221,8 @@
 	if k.typical == 0 {
 		k.typical = latency
 	}
-	k.typical += time.Duration(latencySmoothing / 4 * float64(latency-k.typical))
 	if load >= 0 && slots > 0 {
-		k.pressure += latencySmoothing / 4 * (float64(load)/float64(slots) - k.pressure)
+		k.pressure += pressureSmoothing * (float64(load)/float64(slots) - k.pressure)
 	}
 }
 
@@ -292,25 +338,12 @@
 	return a
 }
 
-// Charges that order the candidates before load does.
-const (
-	hotCharge       = 10
-	stragglerCharge = 100
-)
-
 // score is lower for the better endpoint.
 func (k *Picker) score(now time.Time, c *Candidate) float64 {
-	slots := c.effectiveSlots(now)
-	load := c.load(now, k.pressure)
-	score := (load + 1) / slots
-	if load+1 > slots {
-		score += hotCharge
-	}
+	score := (c.load(now, k.pressure) + 1) / c.effectiveSlots(now)
+	score += slownessWeight * c.slowness(now, k.typical)
 	if c.Far {
-		score += farPenalty
-	}
-	if k.typical > 0 && c.Latency > 0 {
-		score += latencyWeight * math.Min(float64(c.Latency)/float64(k.typical)-1, 2)
+		score += farCharge
 	}
 	if k.Straggles(now, c) {
 		score += stragglerCharge
