--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -302,8 +302,15 @@
 	d.handle(controller.EntrySaid{Conn: s.Conn, Message: m})
 }
 
-// PeerSaid hands in a message of another replica.
-func (d *Driver) PeerSaid(m messenger.ToPeer) { d.handle(controller.PeerSaid{Message: m}) }
+// PeerSaid hands in messages of another replica. The answers to all of them are
+// ready before the first leaves.
+func (d *Driver) PeerSaid(messages []messenger.ToPeer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range messages {
+		d.carryOut(d.machine.Handle(time.Now(), controller.PeerSaid{Message: m}))
+	}
+}
 
 // Apply makes a change and waits for what becomes of it.
 func (d *Driver) Apply(ctx context.Context, document []byte) (controller.AnswerApply, error) {
--- a/control/driver/peers.go
+++ b/control/driver/peers.go
@@ -18,6 +18,8 @@
 	// peerBacklog is how many messages to a peer may wait; the rest is dropped, as
 	// on a network.
 	peerBacklog   = 1024
+	// maxBatch is how many messages travel together.
+	maxBatch      = 64
 	redialWait    = 100 * time.Millisecond
 	maxPeerBytes  = 64 << 20
 	aliveInterval = messenger.SilenceLimit / 3
@@ -99,14 +101,32 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-queue:
-			encoded, err := encoder.EncodeToPeer(m)
-			if err != nil {
-				slog.Warn("message to a replica dropped", "error", err)
-				continue
-			}
-			if err := stream.Send(encoded); err != nil {
+			if err := stream.Send(batch(m, queue)); err != nil {
 				return err
 			}
 		}
 	}
 }
+
+// batch joins a message with those that are ready too.
+func batch(first messenger.ToPeer, queue chan messenger.ToPeer) *wire.FromPeers {
+	out := &wire.FromPeers{}
+	add := func(m messenger.ToPeer) {
+		encoded, err := encoder.EncodeToPeer(m)
+		if err != nil {
+			slog.Warn("message to a replica dropped", "error", err)
+			return
+		}
+		out.Messages = append(out.Messages, encoded)
+	}
+	add(first)
+	for len(out.Messages) < maxBatch {
+		select {
+		case m := <-queue:
+			add(m)
+		default:
+			return out
+		}
+	}
+	return out
+}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -121,14 +121,15 @@
 	}
 }
 
-func (s *Server) fromPeer(m *wire.FromPeer) {
-	if m.GetAlive() != nil {
-		return
-	}
-	message, err := encoder.DecodeToPeer(m)
-	if err != nil {
-		slog.Warn("message of a replica dropped", "error", err)
-		return
+func (s *Server) fromPeer(m *wire.FromPeers) {
+	messages := make([]messenger.ToPeer, 0, len(m.GetMessages()))
+	for _, encoded := range m.GetMessages() {
+		message, err := encoder.DecodeToPeer(encoded)
+		if err != nil {
+			slog.Warn("message of a replica dropped", "error", err)
+			continue
+		}
+		messages = append(messages, message)
 	}
-	s.driver.PeerSaid(message)
+	s.driver.PeerSaid(messages)
 }
--- a/core/claimer/claimer.go
+++ b/core/claimer/claimer.go
@@ -172,7 +172,8 @@
 	// clock is the sum of all that Advance has carried; it never falls.
 	clock   time.Duration
 	records map[Key]*record
-	// order holds the records by their expiry.
+	// order holds the records by their expiry, those too that a later record of the
+	// same key has replaced.
 	order []*record
 }
 
@@ -237,9 +238,7 @@
 	result.Verdict = r.verdict(v)
 	switch result.Verdict {
 	case VerdictGranted:
-		r.State = StatePending
-		r.Attempt = v.Attempt
-		r.Fingerprint = v.Fingerprint
+		c.regrant(r, v)
 	case VerdictDone:
 		result.Answer = r.Answer
 	}
@@ -255,6 +254,14 @@
 	return VerdictGranted
 }
 
+// regrant gives a released key to another attempt. Its retention begins anew, with
+// a record of its own.
+func (c *Claimer) regrant(r *record, v Claim) {
+	if r.Attempt != v.Attempt {
+		c.keep(&record{Key: v.Key, State: StatePending, Attempt: v.Attempt, Fingerprint: v.Fingerprint})
+	}
+}
+
 func (c *Claimer) keep(r *record) {
 	r.Expires = c.clock + c.retention
 	c.records[r.Key] = r
@@ -316,7 +323,9 @@
 		if r.Expires > c.clock {
 			break
 		}
-		delete(c.records, r.Key)
+		if c.records[r.Key] == r {
+			delete(c.records, r.Key)
+		}
 		expired++
 	}
 	c.order = c.order[expired:]
@@ -330,7 +339,13 @@
 
 // Snapshot returns the state for storage.
 func (c *Claimer) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(image{c.clock, c.order})
+	current := make([]*record, 0, len(c.records))
+	for _, r := range c.order {
+		if c.records[r.Key] == r {
+			current = append(current, r)
+		}
+	}
+	data, err := json.Marshal(image{c.clock, current})
 	return data, errors.Wrap(err, "encode claims snapshot")
 }
 
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -21,7 +21,7 @@
 // Timing of a controller.
 const (
 	// TickInterval is how often the caller should hand in a Tick.
-	TickInterval = 20 * time.Millisecond
+	TickInterval = 50 * time.Millisecond
 	// QuorumWindow is how old the word of a majority may be for a replica to give
 	// standing or shares.
 	QuorumWindow = time.Second
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -24,9 +24,9 @@
 
 // Timing of a replica.
 const (
-	DefaultHeartbeat   = 100 * time.Millisecond
-	DefaultElectionMin = 400 * time.Millisecond
-	DefaultElectionMax = 800 * time.Millisecond
+	DefaultHeartbeat   = 150 * time.Millisecond
+	DefaultElectionMin = 450 * time.Millisecond
+	DefaultElectionMax = 900 * time.Millisecond
 )
 
 // Bounds on what is sent at once.
--- /dev/null
+++ b/core/router/router_test.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/validator"
+)
+
+func route(host, prefix string) validator.Service {
+	return validator.Service{Name: host + prefix, Routes: []validator.Route{{Host: host, PathPrefix: prefix}}}
+}
+
+func TestMatchTakesTheMostSpecificRoute(t *testing.T) {
+	r := New(validator.Document{Services: []validator.Service{
+		route("", "/a"), route("", "/a/b"), route("h.example", "/a"), route("", "/slash/"),
+	}})
+	tests := []struct{ host, path, want string }{
+		{"x", "/a", "/a"},
+		{"x", "/a/c", "/a"},
+		{"x", "/a/b/c", "/a/b"},
+		{"x", "/ab", ""},
+		{"h.example:8080", "/a/x", "h.example/a"},
+		{"H.Example", "/a", "h.example/a"},
+		{"h.example", "/a/b", "/a/b"},
+		{"x", "/slash/y", "/slash/"},
+		{"x", "/", ""},
+	}
+	for _, tt := range tests {
+		m, ok := r.Match(tt.host, tt.path)
+		assert.Equal(t, m.Service, tt.want, "%s%s", tt.host, tt.path)
+		assert.Equal(t, ok, tt.want != "")
+	}
+}
+
+func TestExecutionFollowsRouteThenMethod(t *testing.T) {
+	tests := []struct {
+		stated validator.Execution
+		method string
+		want   Execution
+	}{
+		{"", "GET", Repeatable},
+		{"", "PUT", Repeatable},
+		{"", "POST", SingleAttempt},
+		{"", "PATCH", SingleAttempt},
+		{"", "ODD", SingleAttempt},
+		{validator.ExecutionRepeatable, "POST", Repeatable},
+		{validator.ExecutionOnceOnly, "POST", OnceOnly},
+		{validator.ExecutionOnceOnly, "PUT", OnceOnly},
+		{validator.ExecutionOnceOnly, "GET", Repeatable},
+	}
+	for _, tt := range tests {
+		m := Match{Route: validator.Route{Execution: tt.stated}}
+		assert.Equal(t, m.Execution(tt.method), tt.want, "%s %s", tt.stated, tt.method)
+	}
+}
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -19,7 +19,7 @@
 )
 
 // TickInterval is how often the caller should hand in a Tick.
-const TickInterval = 50 * time.Millisecond
+const TickInterval = 100 * time.Millisecond
 
 // Timing of a subscriber.
 const (
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -117,7 +117,7 @@
 
 const (
 	// idleInterval is how often time passes in the balancers of an idle entry.
-	idleInterval = 50 * time.Millisecond
+	idleInterval = 100 * time.Millisecond
 	trimInterval = time.Second
 )
 
