--- /dev/null
+++ b/control/journaler/journaler_test.go
@@ -0,0 +1,202 @@
+package journaler
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/replicator"
+)
+
+func entries(from, to, term uint64) []replicator.Entry {
+	var list []replicator.Entry
+	for i := from; i <= to; i++ {
+		list = append(list, replicator.Entry{Index: i, Term: term, Kind: replicator.EntryCommand, Data: []byte("command")})
+	}
+	return list
+}
+
+func open(t *testing.T, folder string) (*Journal, replicator.Stored) {
+	t.Helper()
+	j, stored, err := Open(folder)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = j.Close() })
+	return j, stored
+}
+
+func persist(t *testing.T, j *Journal, outs ...replicator.Output) {
+	t.Helper()
+	for _, out := range outs {
+		assert.NilError(t, j.Persist(out))
+	}
+}
+
+func TestJournalGivesBackWhatWasSynced(t *testing.T) {
+	folder := t.TempDir()
+	j, stored := open(t, folder)
+	assert.DeepEqual(t, stored, replicator.Stored{})
+	state := replicator.HardState{Term: 3, Vote: "a"}
+	persist(t, j,
+		replicator.Output{State: &replicator.HardState{Term: 2}, Entries: entries(1, 5, 2)},
+		replicator.Output{State: &state},
+		replicator.Output{Entries: entries(4, 6, 3)}, // replaces 4 and 5
+	)
+	_, stored = open(t, folder)
+	assert.DeepEqual(t, stored.State, state)
+	assert.DeepEqual(t, stored.Entries, append(entries(1, 3, 2), entries(4, 6, 3)...))
+}
+
+func TestSnapshotReplacesTheLogUpToIt(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := open(t, folder)
+	persist(t, j, replicator.Output{State: &replicator.HardState{Term: 2}, Entries: entries(1, 9, 2)})
+	snapshot := replicator.Snapshot{Index: 7, Term: 2, Members: replicator.Membership{{ID: "a", Name: "a", Voter: true}}, Data: []byte("state")}
+	assert.NilError(t, j.Store(snapshot, entries(8, 9, 2)))
+	persist(t, j, replicator.Output{Entries: entries(10, 10, 2)})
+	_, stored := open(t, folder)
+	assert.DeepEqual(t, stored.Snapshot, snapshot)
+	assert.DeepEqual(t, stored.Entries, entries(8, 10, 2))
+	assert.Equal(t, stored.State.Term, uint64(2))
+}
+
+func TestCrashBetweenSnapshotAndJournal(t *testing.T) {
+	tests := []struct {
+		name     string
+		snapshot replicator.Snapshot
+		want     []replicator.Entry
+	}{
+		{"of the own log", replicator.Snapshot{Index: 7, Term: 2}, entries(8, 9, 2)},
+		{"of another history", replicator.Snapshot{Index: 7, Term: 3}, nil},
+		{"beyond the log", replicator.Snapshot{Index: 20, Term: 2}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			folder := t.TempDir()
+			j, _ := open(t, folder)
+			persist(t, j, replicator.Output{Entries: entries(1, 9, 2)})
+			old, err := os.ReadFile(j.path(journalName))
+			assert.NilError(t, err)
+			assert.NilError(t, j.Store(tt.snapshot, nil))
+			assert.NilError(t, os.WriteFile(j.path(journalName), old, fileMode))
+			_, stored := open(t, folder)
+			assert.Equal(t, stored.Snapshot.Index, tt.snapshot.Index)
+			assert.DeepEqual(t, stored.Entries, tt.want)
+		})
+	}
+}
+
+// TestTornWriteIsCutOff cuts the file at every byte of its last frame.
+func TestTornWriteIsCutOff(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := open(t, folder)
+	persist(t, j, replicator.Output{Entries: entries(1, 3, 1)})
+	whole := j.size
+	persist(t, j, replicator.Output{Entries: entries(4, 4, 1)})
+	data, err := os.ReadFile(j.path(journalName))
+	assert.NilError(t, err)
+	for cut := whole; cut < int64(len(data)); cut++ {
+		torn := filepath.Join(t.TempDir(), "torn")
+		assert.NilError(t, os.MkdirAll(torn, folderMode))
+		assert.NilError(t, os.WriteFile(filepath.Join(torn, journalName), data[:cut], fileMode))
+		again, stored := open(t, torn)
+		assert.DeepEqual(t, stored.Entries, entries(1, 3, 1))
+		persist(t, again, replicator.Output{Entries: entries(4, 5, 2)})
+		_, stored = open(t, torn)
+		assert.Equal(t, len(stored.Entries), 5)
+	}
+}
+
+// TestDamageInTheMiddleIsRefused flips every byte before the last frame.
+func TestDamageInTheMiddleIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := open(t, folder)
+	persist(t, j, replicator.Output{Entries: entries(1, 2, 1)}, replicator.Output{Entries: entries(3, 3, 1)})
+	data, err := os.ReadFile(j.path(journalName))
+	assert.NilError(t, err)
+	persist(t, j, replicator.Output{Entries: entries(4, 4, 1)})
+	all, err := os.ReadFile(j.path(journalName))
+	assert.NilError(t, err)
+	for at := range data {
+		damaged := append([]byte(nil), all...)
+		damaged[at] ^= 0x20
+		bad := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(bad, journalName), damaged, fileMode))
+		_, _, err := Open(bad)
+		assert.ErrorIs(t, err, ErrDamaged, "byte %d", at)
+	}
+}
+
+func TestLostJournalIsNotTakenForAnEmptyOne(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := open(t, folder)
+	assert.NilError(t, j.Store(replicator.Snapshot{Index: 7, Term: 2}, nil))
+	assert.NilError(t, os.Remove(j.path(journalName)))
+	_, _, err := Open(folder)
+	assert.ErrorIs(t, err, ErrDamaged)
+}
+
+func TestFailedWriteCountsForNothing(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := open(t, folder)
+	persist(t, j, replicator.Output{Entries: entries(1, 2, 1)})
+	readOnly, err := os.Open(j.path(journalName))
+	assert.NilError(t, err)
+	writable := j.file
+	j.file = readOnly // as a disk that takes no more
+	assert.Assert(t, j.Persist(replicator.Output{Entries: entries(3, 3, 1)}) != nil)
+	j.file = writable
+	persist(t, j, replicator.Output{Entries: entries(3, 4, 1)})
+	_, stored := open(t, folder)
+	assert.DeepEqual(t, stored.Entries, entries(1, 4, 1))
+}
+
+func TestIdentityStaysWithTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	first, err := Identity(folder)
+	assert.NilError(t, err)
+	again, err := Identity(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, first, again)
+	other, err := Identity(t.TempDir())
+	assert.NilError(t, err)
+	assert.Assert(t, first != other)
+}
+
+func TestFolderHasOneUser(t *testing.T) {
+	folder := t.TempDir()
+	lock, err := NewLock(folder)
+	assert.NilError(t, err)
+	_, err = NewLock(folder)
+	assert.ErrorIs(t, err, ErrInUse)
+	lock.Release()
+	lock, err = NewLock(folder)
+	assert.NilError(t, err)
+	lock.Release()
+}
+
+// FuzzSplit asserts that whatever a file holds, what is read is a prefix of whole
+// frames and nothing whole is skipped.
+func FuzzSplit(f *testing.F) {
+	one, _ := frame([]byte("one"))
+	two, _ := frame([]byte("two"))
+	f.Add(append(append([]byte(nil), one...), two...))
+	f.Add(append(append([]byte(nil), one...), two[:7]...))
+	f.Add(append(one[:9:9], two...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		payloads, whole, err := split(data)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrDamaged)
+			return
+		}
+		var again []byte
+		for _, p := range payloads {
+			framed, err := frame(p)
+			assert.NilError(t, err)
+			again = append(again, framed...)
+		}
+		assert.DeepEqual(t, again, append([]byte(nil), data[:whole]...))
+		assert.Equal(t, findFrame(data[whole:]), -1)
+	})
+}
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -44,6 +44,8 @@
 	live  []AttemptID
 	tried []*endpoint
 	made  int
+	// firstAt is when the first attempt was sent.
+	firstAt time.Time
 	// mayHaveRun is set once an attempt may have run without our learning it.
 	mayHaveRun bool
 	// claim is the attempt that the key was claimed for; empty without a claim.
@@ -164,6 +166,7 @@
 	c.live = append(c.live, a.id)
 	c.tried = append(c.tried, e)
 	if c.made == 1 {
+		c.firstAt = now
 		b.budget.First(now)
 		b.scheduleHedge(now, c)
 	}
@@ -173,13 +176,18 @@
 	})
 }
 
-// connection keeps a request that can't be repeated off connections in doubt.
+// connection keeps a request that can't be repeated off connections in doubt. A
+// second attempt uses only connections that have worked since the first was sent:
+// what has silenced one connection may have silenced those to other endpoints too.
 func (b *Balancer) connection(c *call, e *endpoint) Connection {
-	quiet := AnyQuiet
+	rule := Connection{MaxQuiet: AnyQuiet, ProvenAfter: e.provenAfter, MaxOpen: b.connectionCap(e.Connections)}
 	if c.Execution != router.Repeatable {
-		quiet = OnceQuiet
+		rule.MaxQuiet = OnceQuiet
 	}
-	return Connection{MaxQuiet: quiet, ProvenAfter: e.provenAfter, MaxOpen: b.connectionCap(e.Connections)}
+	if c.made > 1 && rule.ProvenAfter.Before(c.firstAt) {
+		rule.ProvenAfter = c.firstAt
+	}
+	return rule
 }
 
 func (b *Balancer) scheduleHedge(now time.Time, c *call) {
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -143,7 +143,7 @@
 		c.group.Go(func() { sent <- c.send(request) })
 		response, informational, err := c.receive(request)
 		if err == nil {
-			err = finished(sent, response)
+			markUnfinished(sent, response)
 		}
 		return response, informational, err
 	}
@@ -153,18 +153,15 @@
 	return c.receive(request)
 }
 
-// finished marks the connection as one that can't be used again unless the whole
-// request has been sent.
-func finished(sent chan error, response *http.Response) error {
+// markUnfinished marks the connection as one that can't be used again unless the
+// whole request has been sent.
+func markUnfinished(sent chan error, response *http.Response) {
 	select {
 	case err := <-sent:
-		if err != nil {
-			response.Close = true
-		}
+		response.Close = response.Close || err != nil
 	default:
 		response.Close = true
 	}
-	return nil
 }
 
 func (c *connection) send(request *http.Request) error {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -180,7 +180,7 @@
 // it as is kept.
 func (f *Forwarder) converse(ctx context.Context, p *pool, c *connection, request *http.Request, streamed bool) (*Answer, error) {
 	release := c.interruptWith(ctx)
-	response, informational, err := c.roundTrip(request, streamed)
+	response, informational, err := c.roundTrip(request, streamed) //nolint:bodyclose // Finish ends it with the connection
 	if err != nil {
 		release()
 		return nil, err
