Count a failure as a slow answer, and let a second attempt wait for room

Cause: with two endpoints none may be ejected, and the one that failed at once was always free and drew every call; a second attempt that found the other endpoint busy ended in 502 (24 calls at once: up to 16 lost). Change: a failure counts as twenty typical latencies in the choice; a second attempt queues like a first one.

--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -91,11 +91,18 @@
 		b.refuse(now, c, ReasonNoEndpoint)
 		return
 	}
-	if !b.queue.Push(now, uint64(c.ID), c.Class, c.Deadline, b.picker.Typical()) {
+	if !b.enqueue(now, c) {
 		b.refuse(now, c, ReasonQueueFull)
-		return
+	}
+}
+
+// enqueue lets the call wait for an endpoint, if there is room and time.
+func (b *Balancer) enqueue(now time.Time, c *call) bool {
+	if !b.queue.Push(now, uint64(c.ID), c.Class, c.Deadline, b.picker.Typical()) {
+		return false
 	}
 	c.phase = phaseQueued
+	return true
 }
 
 func (b *Balancer) anyAccepts(now time.Time) bool {
@@ -116,12 +123,23 @@
 		case !ok:
 		case late:
 			b.refuse(now, c, ReasonDeadline)
+		case b.attempt(now, c):
+		case !b.anyUntried(now, c) || !b.enqueue(now, c):
+			b.refuse(now, c, c.reason())
 		default:
-			b.attempt(now, c)
+			return // what is free now is what this call has tried
 		}
 	}
 }
 
+// reason returns why the call has no answer yet.
+func (c *call) reason() Reason {
+	if c.last == "" {
+		return ReasonNoEndpoint
+	}
+	return c.last
+}
+
 // attempt sends the call to an endpoint that it has not tried, and reports
 // whether there was one.
 func (b *Balancer) attempt(now time.Time, c *call) bool {
@@ -430,7 +448,21 @@
 	if c.gone || !now.Before(c.Deadline) || !mayRepeat(c, proof) {
 		return false
 	}
-	return b.hasTarget(now, c) && b.budget.Spend() && b.attempt(now, c)
+	if !b.anyUntried(now, c) || !b.budget.Spend() {
+		return false
+	}
+	return b.attempt(now, c) || b.enqueue(now, c)
+}
+
+// anyUntried reports whether an endpoint that the call has not tried takes new
+// work, now or when it has room.
+func (b *Balancer) anyUntried(now time.Time, c *call) bool {
+	for _, e := range b.endpoints {
+		if b.accepts(now, e) && !e.ejected() && !c.hasTried(e) {
+			return true
+		}
+	}
+	return false
 }
 
 // onCallerGone cancels what nobody waits for. A once-only request that is on its
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -211,6 +211,7 @@
 
 // failed takes note of a failure, and ejects the endpoint after several in a row.
 func (b *Balancer) failed(now time.Time, e *endpoint) {
+	b.picker.Failed(now, &b.candidates[e.at])
 	e.failures++
 	again := e.ejected() && e.trial
 	e.trial = false
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -47,6 +47,10 @@
 	slownessMax = 20
 	// slownessLife is the time in which a latency loses most of its weight.
 	slownessLife = time.Second
+	// failureFactor is how many typical latencies a failure counts as, and
+	// failureFloor the least.
+	failureFactor = 20
+	failureFloor  = 20 * time.Millisecond
 	// pressureSmoothing is the weight of a new sample in the average pressure.
 	pressureSmoothing = 0.025
 )
@@ -197,6 +201,12 @@
 // Typical returns the median of the endpoints' latencies.
 func (k *Picker) Typical() time.Duration { return k.typical }
 
+// Failed counts a failure of the candidate as a slow answer, so that one that fails
+// fast doesn't draw work by always being free.
+func (k *Picker) Failed(now time.Time, c *Candidate) {
+	c.Answered(now, max(failureFactor*k.typical, failureFloor))
+}
+
 // Review takes the median of the endpoints' latencies for the typical one, so that
 // one endpoint with much traffic can't shift it.
 func (k *Picker) Review(list []Candidate) {
@@ -210,7 +220,7 @@
 		return
 	}
 	slices.Sort(k.sorted)
-	k.typical = k.sorted[len(k.sorted)/2]
+	k.typical = k.sorted[(len(k.sorted)-1)/2]
 }
 
 // Pressure returns the moving average of load against slots over all endpoints.
