Prove the promises with real processes that are killed, wiped and frozen

Change: tests that build the programs and run them on loopback: replicas killed in the middle of changes, a wiped disk followed by a second loss, a frozen leader, once-only calls while replicas, entries and endpoints are killed, planned stops under load.

--- /dev/null
+++ b/bench/stager/stager_test.go
@@ -0,0 +1,292 @@
+package stager
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+)
+
+// patience is far longer than anything here should take; nothing asserts a time.
+const patience = 60 * time.Second
+
+var bin string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "comfreyplank")
+	if err != nil {
+		panic(err)
+	}
+	bin = folder
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./entry", "./control", "./standin")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Println(string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+func running(t *testing.T, controls, entries, standins int) *Stage {
+	t.Helper()
+	s, err := New(bin, t.TempDir(), controls, entries)
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	for range standins {
+		assert.NilError(t, s.AddStandin("rounds"))
+	}
+	assert.NilError(t, s.Start())
+	s.apply(t, Document(0, "first"))
+	for _, e := range s.Entries {
+		assert.NilError(t, Until(patience, e.Ready))
+	}
+	return s
+}
+
+// apply sends a change to one replica after the other until it is answered for good.
+func (s *Stage) apply(t *testing.T, document []byte) Result {
+	t.Helper()
+	var last Result
+	err := Until(patience, func() bool {
+		for _, c := range s.Controls {
+			r, err := c.Apply(document)
+			if err == nil && (r.Status == "in-force" || r.Status == "refused") {
+				last = r
+				return true
+			}
+		}
+		return false
+	})
+	assert.NilError(t, err)
+	return last
+}
+
+func (s *Stage) revision(t *testing.T) uint64 {
+	t.Helper()
+	var answer struct {
+		Revision  uint64 `json:"revision"`
+		Confirmed bool   `json:"confirmed"`
+	}
+	assert.NilError(t, Until(patience, func() bool {
+		for _, c := range s.Controls {
+			if Get("http://"+c.Admin+"/comfreyplank/v1/document", &answer) == nil && answer.Confirmed {
+				return true
+			}
+		}
+		return false
+	}))
+	return answer.Revision
+}
+
+func (s *Stage) leader(t *testing.T) *Process {
+	t.Helper()
+	var lead *Process
+	assert.NilError(t, Until(patience, func() bool {
+		for _, c := range s.Controls {
+			var status struct {
+				Role          string `json:"role"`
+				HearsMajority bool   `json:"hears-majority"`
+			}
+			if Get("http://"+c.Admin+"/comfreyplank/v1/status", &status) == nil && status.Role == "leader" && status.HearsMajority {
+				lead = c
+				return true
+			}
+		}
+		return false
+	}))
+	return lead
+}
+
+// pledge sends a once-only call and returns its status and outcome.
+func pledge(e *Process, key string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.Listen+"/pledges/x", strings.NewReader("pack"))
+	if err != nil {
+		return 0, ""
+	}
+	r.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "broken"
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Header.Get("Comfreyplank-Outcome")
+}
+
+func TestKilledReplicasLoseNoAcceptedChange(t *testing.T) {
+	s := running(t, 3, 2, 2)
+	for i := uint64(1); i <= 6; i++ {
+		victim := s.Controls[int(i)%3]
+		var group sync.WaitGroup
+		group.Go(func() { assert.Check(t, victim.Kill()) }) // in the middle of the change
+		r := s.apply(t, Document(i, fmt.Sprint("change-", i)))
+		group.Wait()
+		assert.Equal(t, r.Status, "in-force")
+		assert.Equal(t, r.Answer.Revision, i+1)
+		assert.NilError(t, s.StartOne(victim))
+	}
+	assert.Equal(t, s.revision(t), uint64(7))
+	again := s.apply(t, Document(3, "change-3"))
+	assert.Equal(t, again.Answer.Revision, uint64(4))
+	late := s.apply(t, Document(3, "too-late"))
+	assert.Equal(t, late.Status, "refused")
+}
+
+func TestWipedReplicaIsRepairedThenAnotherIsLost(t *testing.T) {
+	s := running(t, 3, 2, 2)
+	wiped := s.Controls[0]
+	assert.NilError(t, wiped.Kill())
+	assert.NilError(t, os.RemoveAll(wiped.Data))
+	assert.NilError(t, s.StartOne(wiped))
+	s.apply(t, Document(1, "second"))
+	assert.NilError(t, Until(patience, func() bool {
+		var status struct {
+			Members []struct {
+				Voter bool `json:"voter"`
+			} `json:"members"`
+			ClaimsMembers []struct {
+				Voter bool `json:"voter"`
+			} `json:"claims-members"`
+			Revision uint64 `json:"revision"`
+		}
+		if Get("http://"+wiped.Admin+"/comfreyplank/v1/status", &status) != nil || len(status.Members) != 3 || len(status.ClaimsMembers) != 3 {
+			return false
+		}
+		for i := range 3 {
+			if !status.Members[i].Voter || !status.ClaimsMembers[i].Voter {
+				return false
+			}
+		}
+		return status.Revision == 2
+	}))
+	assert.NilError(t, s.Controls[1].Kill())
+	assert.Equal(t, s.revision(t), uint64(2))
+	r := s.apply(t, Document(2, "third"))
+	assert.Equal(t, r.Answer.Revision, uint64(3))
+}
+
+func TestFrozenLeaderRevertsNothing(t *testing.T) {
+	s := running(t, 3, 2, 2)
+	frozen := s.leader(t)
+	assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+	r := s.applyBut(t, frozen, Document(1, "second"))
+	assert.Equal(t, r.Answer.Revision, uint64(2))
+	for _, e := range s.Entries {
+		assert.NilError(t, Until(patience, e.Ready))
+	}
+	assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+	late, err := frozen.Apply(Document(1, "stale"))
+	assert.NilError(t, err)
+	assert.Assert(t, late.Status != "in-force", late.Status)
+	assert.Equal(t, s.revision(t), uint64(2))
+}
+
+func (s *Stage) applyBut(t *testing.T, frozen *Process, document []byte) Result {
+	t.Helper()
+	rest := Stage{}
+	for _, c := range s.Controls {
+		if c != frozen {
+			rest.Controls = append(rest.Controls, c)
+		}
+	}
+	return rest.apply(t, document)
+}
+
+// TestPledgesRunOnceWhileEverythingIsKilled sends each key to several entries, again
+// and again, while replicas, entries and endpoints are killed.
+func TestPledgesRunOnceWhileEverythingIsKilled(t *testing.T) {
+	s := running(t, 3, 3, 3)
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	refused := map[string]bool{}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for c := range 6 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := uuid.Must(uuid.NewV7()).String()
+				allNotRun := true
+				for try := range 3 {
+					status, outcome := pledge(s.Entries[(c+n+try)%3], key)
+					mu.Lock()
+					if status == http.StatusOK {
+						answered[key] = true
+					}
+					allNotRun = allNotRun && outcome == "not-run"
+					mu.Unlock()
+				}
+				mu.Lock()
+				refused[key] = allNotRun
+				mu.Unlock()
+			}
+		})
+	}
+	victims := []*Process{s.leader(t), s.Entries[0], s.Standins[0], s.Controls[1], s.Entries[1], s.Standins[1]}
+	for _, v := range victims {
+		assert.NilError(t, v.Kill())
+		time.Sleep(700 * time.Millisecond) // lets callers meet the failure
+		assert.NilError(t, s.StartOne(v))
+		time.Sleep(300 * time.Millisecond) // and the repair
+	}
+	close(stop)
+	callers.Wait()
+	runs, err := s.Runs()
+	assert.NilError(t, err)
+	for key, n := range runs {
+		assert.Check(t, n == 1, "key %s ran %d times", key, n)
+		assert.Check(t, !refused[key], "key %s ran, and its callers were told not run", key)
+	}
+	for key := range answered {
+		assert.Check(t, runs[key] == 1, "key %s was answered and ran %d times", key, runs[key])
+	}
+	assert.Assert(t, len(answered) > 20, "only %d keys were answered", len(answered))
+}
+
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	s, err := New(bin, t.TempDir(), 1, 2)
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	assert.NilError(t, s.AddStandin("rounds", "--service-ms", "800", "--spread", "0", "--slots", "50"))
+	assert.NilError(t, s.Start())
+	s.apply(t, Document(0, "first"))
+	leaving := s.Entries[0]
+	assert.NilError(t, Until(patience, leaving.Ready))
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 60 * time.Millisecond) // spreads the calls over the stop
+			response, err := http.Get("http://" + leaving.Listen + "/rounds/x")
+			if !assert.Check(t, err) {
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			_, err = io.ReadAll(response.Body)
+			assert.Check(t, err)
+			assert.Check(t, response.StatusCode == http.StatusOK, "%d", response.StatusCode)
+		})
+	}
+	time.Sleep(250 * time.Millisecond) // some calls are in flight
+	assert.NilError(t, leaving.Signal(syscall.SIGTERM))
+	assert.NilError(t, Until(patience, func() bool { return !leaving.Ready() }))
+	group.Wait()
+	assert.Equal(t, leaving.Wait(), 0)
+	assert.NilError(t, s.Controls[0].Signal(syscall.SIGTERM))
+	assert.Equal(t, s.Controls[0].Wait(), 0)
+}
