Find a lost change again, and send entries while the own disk syncs

Cause: a change made as the leader was killed took 8.3 s to be in force, over the 8 s allowed: it had gone to the dead leader and was proposed again only by the operator. Claims waited for two syncs one after the other. Control took 2.5 to 3% of a core at rest with 17 entries. Change: a replica proposes a change again every 500 ms until it is in the log; a leader sends entries while its own disk syncs them; beats every 700 ms, signs of life only on streams with nothing to say, two threads for control. Ruled out: one thread for all programs (32,000 of 47,000 claims refused: entries lost their standing).

--- a/bench/main.go
+++ b/bench/main.go
@@ -24,6 +24,7 @@
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	mustAdd(parser, "load", "Send an open-loop load", &loadCommand{ctx: ctx})
 	mustAdd(parser, "compare", "Compare ways to choose endpoints, in virtual time", &compareCommand{})
+	mustAdd(parser, "control", "Measure the control replicas with real processes", &controlCommand{})
 	_, err := parser.Parse()
 	var usage *flags.Error
 	switch {
--- /dev/null
+++ b/bench/measure.go
@@ -0,0 +1,315 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"comfreyplank.org/bench/stager"
+)
+
+// controlCommand measures the control replicas: what they cost at rest, how soon a
+// change is in force, and how many claims they take.
+type controlCommand struct {
+	Bin       string        `long:"bin" default:"bin" description:"folder of the programs"`
+	Replicas  int           `long:"replicas" default:"3" description:"control replicas"`
+	Entries   int           `long:"entries" default:"17" description:"entries"`
+	Endpoints int           `long:"endpoints" default:"32" description:"endpoints, all announced from one process"`
+	Rest      time.Duration `long:"rest" default:"15s" description:"how long to measure at rest"`
+	Changes   int           `long:"changes" default:"50" description:"changes while all is calm"`
+	Kills     int           `long:"kills" default:"4" description:"changes while the leader is killed"`
+	Claims    time.Duration `long:"claims" default:"5s" description:"how long to claim keys"`
+	Callers   int           `long:"callers" default:"64" description:"callers that claim at once"`
+	Recovery  int           `long:"recovery" default:"0" description:"changes after which a replica is restarted"`
+}
+
+const patience = 60 * time.Second
+
+// Execute is part of flags.Commander.
+func (c *controlCommand) Execute([]string) error {
+	work, err := os.MkdirTemp("", "comfreyplank")
+	if err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	defer func() { _ = os.RemoveAll(work) }()
+	s, err := stager.New(c.Bin, work, c.Replicas, c.Entries)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	if err := s.AddStandin("rounds", "--count", strconv.Itoa(c.Endpoints), "--service-ms", "2", "--slots", "50"); err != nil {
+		return err
+	}
+	if err := s.Start(); err != nil {
+		return err
+	}
+	m := &measurement{stage: s, revision: 0}
+	if err := m.ready(); err != nil {
+		return err
+	}
+	fmt.Printf("%d replicas, %d entries, %d endpoints\n", c.Replicas, c.Entries, c.Endpoints)
+	m.rest(c.Rest)
+	if err := m.calm(c.Changes); err != nil {
+		return err
+	}
+	if err := m.kills(c.Kills); err != nil {
+		return err
+	}
+	m.claims(c.Claims, c.Callers)
+	return m.recovery(c.Recovery)
+}
+
+// measurement is a run under way.
+type measurement struct {
+	stage    *stager.Stage
+	revision uint64
+}
+
+func (m *measurement) ready() error {
+	if err := m.change(nil); err != nil {
+		return err
+	}
+	for _, e := range m.stage.Entries {
+		if err := stager.Until(patience, e.Ready); err != nil {
+			return errors.Wrap(err, "entry "+e.Name)
+		}
+	}
+	time.Sleep(8 * time.Second) // until shares are out
+	return nil
+}
+
+// change applies the next document, at any replica but one.
+func (m *measurement) change(but *stager.Process) error {
+	document := stager.Document(m.revision, fmt.Sprint("change-", m.revision))
+	err := stager.Until(patience, func() bool {
+		for _, c := range m.stage.Controls {
+			if c == but {
+				continue
+			}
+			if r, err := c.Apply(document); err == nil && r.Status == "in-force" {
+				m.revision = r.Answer.Revision
+				return true
+			}
+		}
+		return false
+	})
+	return errors.Wrap(err, "change")
+}
+
+// usage is what a process has used.
+type usage struct {
+	cpu   time.Duration
+	bytes int64
+}
+
+func used(pid int) usage {
+	var u usage
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid)) // the pattern is valid
+	for _, path := range tasks {
+		data, err := os.ReadFile(path)
+		if err == nil {
+			ns, _ := strconv.ParseInt(strings.Fields(string(data))[0], 10, 64)
+			u.cpu += time.Duration(ns)
+		}
+	}
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid)) // zero when it can't be read
+	for line := range strings.Lines(string(data)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name == "rchar" || name == "wchar" {
+			n, _ := strconv.ParseInt(value, 10, 64)
+			u.bytes += n
+		}
+	}
+	return u
+}
+
+func resident(pid int) string {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)) // empty when it can't be read
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "VmRSS:") {
+			return strings.TrimSpace(strings.TrimPrefix(line, "VmRSS:"))
+		}
+	}
+	return "?"
+}
+
+// rest measures what the processes use while nothing is asked of them.
+func (m *measurement) rest(d time.Duration) {
+	processes := append(slices.Clone(m.stage.Controls), m.stage.Entries[0])
+	before := make([]usage, len(processes))
+	for i, p := range processes {
+		before[i] = used(p.Pid())
+	}
+	time.Sleep(d)
+	for i, p := range processes {
+		after := used(p.Pid())
+		cpu := 100 * (after.cpu - before[i].cpu).Seconds() / d.Seconds()
+		rate := float64(after.bytes-before[i].bytes) / d.Seconds() / 1000
+		fmt.Printf("rest  %-4s %.2f%% of a core, %.1f KB/s read and written, %s resident\n", p.Name, cpu, rate, resident(p.Pid()))
+	}
+}
+
+func summarise(name string, times []time.Duration) {
+	if len(times) == 0 {
+		return
+	}
+	slices.Sort(times)
+	at := func(q float64) time.Duration {
+		return times[min(len(times)-1, int(q*float64(len(times))))].Round(100 * time.Microsecond)
+	}
+	fmt.Printf("%s: n %d, p50 %v, p99 %v, worst %v\n", name, len(times), at(0.5), at(0.99), times[len(times)-1].Round(100*time.Microsecond))
+}
+
+func (m *measurement) calm(n int) error {
+	var times []time.Duration
+	for range n {
+		start := time.Now()
+		if err := m.change(nil); err != nil {
+			return err
+		}
+		times = append(times, time.Since(start))
+	}
+	summarise("in force, calm", times)
+	return nil
+}
+
+func (m *measurement) leader() *stager.Process {
+	for _, c := range m.stage.Controls {
+		var status struct {
+			Role          string `json:"role"`
+			HearsMajority bool   `json:"hears-majority"`
+		}
+		if stager.Get("http://"+c.Admin+"/comfreyplank/v1/status", &status) == nil && status.Role == "leader" && status.HearsMajority {
+			return c
+		}
+	}
+	return nil
+}
+
+// kills changes the configuration as the leader is killed, and measures how long
+// there is none.
+func (m *measurement) kills(n int) error {
+	if len(m.stage.Controls) < 3 {
+		return nil
+	}
+	var force, leaderless []time.Duration
+	for range n {
+		lead := m.leader()
+		if lead == nil {
+			return errors.New("no leader")
+		}
+		start := time.Now()
+		if err := lead.Kill(); err != nil {
+			return err
+		}
+		var group sync.WaitGroup
+		group.Go(func() {
+			if stager.Until(patience, func() bool { return m.leader() != nil }) == nil {
+				leaderless = append(leaderless, time.Since(start))
+			}
+		})
+		err := m.change(lead)
+		group.Wait()
+		if err != nil {
+			return err
+		}
+		force = append(force, time.Since(start))
+		if err := m.stage.StartOne(lead); err != nil {
+			return err
+		}
+		time.Sleep(5 * time.Second) // until it follows again
+	}
+	summarise("in force, leader killed", force)
+	summarise("without a leader", leaderless)
+	return nil
+}
+
+// claims lets callers send once-only calls as fast as they are answered.
+func (m *measurement) claims(d time.Duration, callers int) {
+	if d == 0 {
+		return
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var times []time.Duration
+	var failed atomic.Int64
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	end := time.Now().Add(d)
+	for i := range callers {
+		e := m.stage.Entries[i%len(m.stage.Entries)]
+		group.Go(func() {
+			for time.Now().Before(end) {
+				start := time.Now()
+				if !pledge(client, e) {
+					failed.Add(1)
+					continue
+				}
+				mu.Lock()
+				times = append(times, time.Since(start))
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	fmt.Printf("once-only: %.0f answered a second, %d not\n", float64(len(times))/d.Seconds(), failed.Load())
+	summarise("once-only, claim and 2 ms of work", times)
+}
+
+func pledge(client *http.Client, e *stager.Process) bool {
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.Listen+"/pledges/x", strings.NewReader("pack"))
+	if err != nil {
+		return false
+	}
+	r.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+	response, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// recovery restarts a replica after many changes.
+func (m *measurement) recovery(n int) error {
+	if n == 0 {
+		return nil
+	}
+	start := time.Now()
+	for range n {
+		if err := m.change(nil); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d changes one after the other took %v\n", n, time.Since(start).Round(time.Millisecond))
+	p := m.stage.Controls[0]
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	p.Wait()
+	start = time.Now()
+	if err := m.stage.StartOne(p); err != nil {
+		return err
+	}
+	err := stager.Until(patience, func() bool {
+		var status struct {
+			Revision      uint64 `json:"revision"`
+			HearsMajority bool   `json:"hears-majority"`
+		}
+		return stager.Get("http://"+p.Admin+"/comfreyplank/v1/status", &status) == nil && status.HearsMajority && status.Revision == m.revision
+	})
+	fmt.Printf("recovery after %d changes: %v\n", n, time.Since(start).Round(time.Millisecond))
+	return err
+}
--- a/bench/stager/stager.go
+++ b/bench/stager/stager.go
@@ -142,6 +142,9 @@
 	return errors.Wrap(p.cmd.Process.Signal(signal), "signal "+p.Name)
 }
 
+// Pid returns the number of the process.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Wait waits for the process to end and returns its exit code.
 func (p *Process) Wait() int {
 	_ = p.cmd.Wait() // the state tells
--- a/control/driver/peers.go
+++ b/control/driver/peers.go
@@ -17,15 +17,15 @@
 const (
 	// peerBacklog is how many messages to a peer may wait; the rest is dropped, as
 	// on a network.
-	peerBacklog   = 1024
+	peerBacklog = 1024
 	// maxBatch is how many messages travel together.
 	maxBatch      = 64
 	redialWait    = 100 * time.Millisecond
 	maxPeerBytes  = 64 << 20
-	aliveInterval = messenger.SilenceLimit / 3
+	aliveInterval = messenger.SilenceLimit / 2
 )
 
-// AliveInterval is how often a stream that has nothing to say says so.
+// AliveInterval is how long a stream may say nothing before it says just that.
 const AliveInterval = aliveInterval
 
 // peers keeps one outgoing stream to each replica that was ever written to.
--- a/control/main.go
+++ b/control/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"comfreyplank.org/shell/configurer"
@@ -14,12 +15,19 @@
 
 func main() { os.Exit(run()) }
 
+// threads bounds the threads that run at once: a replica sleeps most of the time, and
+// waking more of them costs more than it gains.
+const threads = 2
+
 func run() int {
 	settings, err := parse(os.Args[1:])
 	if err != nil {
 		return configurer.Exit("control", err)
 	}
 	settings.Logging.Start(os.Stderr, "control", settings.Name)
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(threads, runtime.NumCPU()))
+	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := serve(stop, settings); err != nil {
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -85,6 +85,7 @@
 				return err
 			}
 		case m := <-stream.Send:
+			ticker.Reset(driver.AliveInterval)
 			if err := send(client, m); err != nil {
 				return err
 			}
--- a/core/controller/configuration.go
+++ b/core/controller/configuration.go
@@ -18,6 +18,8 @@
 const (
 	readPatience     = 150 * time.Millisecond
 	operatorPatience = 2 * time.Second
+	// proposeWait is how long a change may be missing from the log.
+	proposeWait = 500 * time.Millisecond
 )
 
 // pendingApply is an operator who waits for an answer.
@@ -25,6 +27,9 @@
 	request  uint64
 	document validator.Document
 	until    time.Time
+	// proposeAt is when the change is proposed again: it may have gone to a leader
+	// that is no more.
+	proposeAt time.Time
 }
 
 // pendingRead is a confirmed read that is under way, for an operator's request or
@@ -51,7 +56,9 @@
 		c.do(AnswerApply{Request: v.Request, Status: ApplyNotTaken})
 		return
 	}
-	c.applies = append(c.applies, pendingApply{request: v.Request, document: doc, until: now.Add(ApplyTimeout)})
+	c.applies = append(c.applies, pendingApply{
+		request: v.Request, document: doc, until: now.Add(ApplyTimeout), proposeAt: now.Add(proposeWait),
+	})
 	c.answerApplies(now)
 }
 
@@ -140,7 +147,7 @@
 	for _, p := range c.applies {
 		status, answer := c.applyStatus(now, p)
 		if status == 0 {
-			kept = append(kept, p)
+			kept = append(kept, c.proposeAgain(now, p))
 			continue
 		}
 		c.do(AnswerApply{Request: p.request, Answer: answer, Status: status})
@@ -148,6 +155,18 @@
 	c.applies = kept
 }
 
+// proposeAgain sends a change to the present leader unless it is in the log by now.
+func (c *Controller) proposeAgain(now time.Time, p pendingApply) pendingApply {
+	if _, known := c.committer.Answer(p.document); known || now.Before(p.proposeAt) {
+		return p
+	}
+	p.proposeAt = now.Add(proposeWait)
+	if data, err := committer.Encode(committer.Change{Document: p.document}); err == nil {
+		_ = c.config.replica.Propose(data) // without a leader it is tried again later
+	}
+	return p
+}
+
 // applyStatus returns zero while there is nothing to say yet.
 func (c *Controller) applyStatus(now time.Time, p pendingApply) (ApplyStatus, committer.Answer) {
 	answer, known := c.committer.Answer(p.document)
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -50,9 +50,35 @@
 		return
 	}
 	g.persisting = true
+	out.Messages = c.sendEarly(g, out)
 	c.do(Persist{Group: g.id, Output: out})
 }
 
+// sendEarly sends a leader's entries while its own disk syncs them, and returns the
+// messages that must wait. An entry is committed once a majority has synced it,
+// the leader's own disk counted like any other; only a new term must be synced
+// before anything is said in it.
+func (c *Controller) sendEarly(g *group, out replicator.Output) []replicator.Envelope {
+	if out.State != nil || out.Snapshot != nil {
+		return out.Messages
+	}
+	var wait []replicator.Envelope
+	for _, e := range out.Messages {
+		if _, ok := e.Message.(replicator.Append); ok {
+			c.sendReplicated(g, e)
+			continue
+		}
+		wait = append(wait, e)
+	}
+	return wait
+}
+
+func (c *Controller) sendReplicated(g *group, e replicator.Envelope) {
+	if address := c.addressOf(g, e.To); address != "" {
+		c.do(SendPeer{Address: address, Message: messenger.Replicated{Group: g.id, Envelope: e}})
+	}
+}
+
 func (c *Controller) onPersisted(now time.Time, v Persisted) {
 	g := c.group(v.Group)
 	g.persisting = false
@@ -63,9 +89,7 @@
 // finish carries out the part of an Output that follows the sync.
 func (c *Controller) finish(now time.Time, g *group, out replicator.Output) {
 	for _, e := range out.Messages {
-		if address := c.addressOf(g, e.To); address != "" {
-			c.do(SendPeer{Address: address, Message: messenger.Replicated{Group: g.id, Envelope: e}})
-		}
+		c.sendReplicated(g, e)
 	}
 	if out.Snapshot != nil {
 		c.install(now, g, *out.Snapshot)
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -15,7 +15,7 @@
 // Timing between entries and replicas.
 const (
 	// BeatInterval is how often an entry asks for its standing.
-	BeatInterval = 500 * time.Millisecond
+	BeatInterval = 700 * time.Millisecond
 	// StandingLease is how long an entry keeps its standing after the beat that
 	// renewed it.
 	StandingLease = 2 * time.Second
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -30,7 +30,7 @@
 	standingPatience = 1500 * time.Millisecond
 	// commandAgain is how long a command of the claims log waits for its answer
 	// before it is sent again.
-	commandAgain = time.Second
+	commandAgain = 400 * time.Millisecond
 )
 
 // maxCommands bounds the commands that wait for an answer.
