Write the pages for operators and developers, and the design notes

Cause: what was decided and how to run it stood in commits only. Change: glossary, getting started, operating, announcing, the document's reference made from the validator's definitions (a test holds it up to date), design notes with what was weighed and measured; an entry without standing asks endpoints to tell another.

--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -39,9 +39,9 @@
 	os.Exit(code)
 }
 
-func running(t *testing.T, controls, entries, standins int) *Stage {
+func running(t *testing.T, entries, standins int) *Stage {
 	t.Helper()
-	s, err := New(bin, t.TempDir(), controls, entries)
+	s, err := New(bin, t.TempDir(), 3, entries)
 	assert.NilError(t, err)
 	t.Cleanup(s.Stop)
 	for range standins {
@@ -126,7 +126,7 @@
 }
 
 func TestKilledReplicasLoseNoAcceptedChange(t *testing.T) {
-	s := running(t, 3, 2, 2)
+	s := running(t, 2, 2)
 	for i := uint64(1); i <= 6; i++ {
 		victim := s.Controls[int(i)%3]
 		var group sync.WaitGroup
@@ -145,7 +145,7 @@
 }
 
 func TestWipedReplicaIsRepairedThenAnotherIsLost(t *testing.T) {
-	s := running(t, 3, 2, 2)
+	s := running(t, 2, 2)
 	wiped := s.Controls[0]
 	assert.NilError(t, wiped.Kill())
 	assert.NilError(t, os.RemoveAll(wiped.Data))
@@ -178,7 +178,7 @@
 }
 
 func TestFrozenLeaderRevertsNothing(t *testing.T) {
-	s := running(t, 3, 2, 2)
+	s := running(t, 2, 2)
 	frozen := s.leader(t)
 	assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
 	r := s.applyBut(t, frozen, Document(1, "second"))
@@ -207,7 +207,7 @@
 // TestPledgesRunOnceWhileEverythingIsKilled sends each key to several entries, again
 // and again, while replicas, entries and endpoints are killed.
 func TestPledgesRunOnceWhileEverythingIsKilled(t *testing.T) {
-	s := running(t, 3, 3, 3)
+	s := running(t, 3, 3)
 	var mu sync.Mutex
 	answered := map[string]bool{}
 	refused := map[string]bool{}
--- a/core/validator/validator_test.go
+++ b/core/validator/validator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,19 @@
 	assert.Assert(t, changed.Stopped("rounds", "e2", time.Unix(0, 0)))
 }
 
+func TestReferencePageIsUpToDate(t *testing.T) {
+	page, err := os.ReadFile("../../docs/document.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), Reference(), "run: ctl reference > docs/document.md")
+}
+
+func TestExampleIsValid(t *testing.T) {
+	example, err := os.ReadFile("../../docs/example.json")
+	assert.NilError(t, err)
+	_, problems := Parse(example)
+	assert.Equal(t, len(problems), 0)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte(`{"services":[{}],"stops":[1]}`))
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -30,10 +30,19 @@
 		{"status", "Show replicas, entries and endpoints", "Shows what every replica that answers knows.", &statusCommand{env: env}},
 		{"timeline", "Show events of all processes", "Merges the events of all replicas and entries.", &timelineCommand{env: env}},
 		{"drain", "Take an endpoint out of service", "Adds a stop to the document: the endpoint gets no new work, and what is in flight ends.", &drainCommand{env: env}},
+		{"reference", "Print the document's reference", "Prints the reference page of the document.", &referenceCommand{}},
 		{"admit", "Take a stopped endpoint back", "Removes the endpoint's stop from the document.", &admitCommand{env: env}},
 	}
 }
 
+type referenceCommand struct{}
+
+// Execute is part of flags.Commander.
+func (c *referenceCommand) Execute([]string) error {
+	_, err := os.Stdout.WriteString(validator.Reference())
+	return errors.Wrap(err, "print")
+}
+
 type fileArgument struct {
 	File string `positional-arg-name:"FILE" description:"the document; - for standard input"`
 }
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -139,6 +139,11 @@
 		return
 	}
 	s.entry.Announce(a)
+	if !s.entry.Ready() {
+		problem := reporter.Problem{Status: http.StatusServiceUnavailable, Detail: "this instance has no standing; tell another one too"}
+		problem.Write(w, reporter.OutcomeNotRun)
+		return
+	}
 	reporter.JSON(w, http.StatusOK, lease{LeaseMs: registrar.Lease.Milliseconds(), RenewalMs: registrar.Renewal.Milliseconds()})
 }
 
--- /dev/null
+++ b/entry/server/server_test.go
@@ -0,0 +1,93 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/shell/reporter"
+)
+
+type fakeEntry struct {
+	ready     bool
+	announced []registrar.Announcement
+}
+
+func (e *fakeEntry) Announce(a registrar.Announcement) { e.announced = append(e.announced, a) }
+func (e *fakeEntry) Ready() bool                       { return e.ready }
+func (e *fakeEntry) Revision() uint64                  { return 7 }
+
+const (
+	path  = "/comfreyplank/v1/services/rounds/endpoints/e1"
+	whole = `{"address":"127.0.0.1:9001","data-centre":"dc","slots":6,"connections":250,"state":"serving","incarnation":1,"sequence":2,"load":0}`
+)
+
+func ask(s *Server, method, path, body, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key)
+	w := httptest.NewRecorder()
+	s.Public(http.NotFoundHandler()).ServeHTTP(w, r)
+	return w
+}
+
+func TestAnnouncementsAreTakenOrRefusedWithReasons(t *testing.T) {
+	tests := []struct {
+		name, method, path, body, key string
+		status                        int
+		problems                      int
+	}{
+		{"whole", "PUT", path, whole, "k", 200, 0},
+		{"goodbye", "DELETE", path, `{"incarnation":1,"sequence":3}`, "k", 200, 0},
+		{"wrong key", "PUT", path, whole, "x", 403, 0},
+		{"not JSON", "PUT", path, "{", "k", 400, 1},
+		{"unknown key", "PUT", path, `{"adress":""}`, "k", 400, 1},
+		{"wrong type", "PUT", path, strings.Replace(whole, "6", `"6"`, 1), "k", 400, 1},
+		{"data after the end", "PUT", path, whole + "{}", "k", 400, 1},
+		{"too large", "PUT", path, strings.Repeat(" ", maxAnnouncementBytes) + whole, "k", 400, 1},
+		{"many errors", "PUT", path, `{}`, "k", 400, 6},
+		{"bad name", "PUT", "/comfreyplank/v1/services/a%20b/endpoints/e1", whole, "k", 400, 1},
+		{"wrong method", "POST", path, whole, "k", 405, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &fakeEntry{ready: true}
+			w := ask(New(e, "k"), tt.method, tt.path, tt.body, tt.key)
+			assert.Equal(t, w.Code, tt.status, w.Body.String())
+			assert.Equal(t, len(e.announced) == 1, tt.status == 200)
+			if tt.status == 200 {
+				return
+			}
+			var p reporter.Problem
+			assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &p))
+			assert.Equal(t, len(p.Errors), tt.problems, w.Body.String())
+			assert.Equal(t, w.Header().Get(reporter.OutcomeHeader), reporter.OutcomeNotRun)
+		})
+	}
+}
+
+func TestEntryWithoutStandingAsksToTellAnother(t *testing.T) {
+	e := &fakeEntry{}
+	assert.Equal(t, ask(New(e, ""), "PUT", path, whole, "").Code, 503)
+	assert.Equal(t, len(e.announced), 1)
+}
+
+func TestReadinessFailsWhileStoppingAndWithoutStanding(t *testing.T) {
+	e := &fakeEntry{ready: true}
+	s := New(e, "")
+	w := ask(s, "GET", "/comfreyplank/ready", "", "")
+	assert.Equal(t, w.Code, 200)
+	assert.Equal(t, w.Header().Get("Connection"), "")
+	e.ready = false
+	assert.Equal(t, ask(s, "GET", "/comfreyplank/ready", "", "").Code, 503)
+	e.ready = true
+	s.Stop()
+	w = ask(s, "GET", "/comfreyplank/ready", "", "")
+	assert.Equal(t, w.Code, 503)
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+	assert.Equal(t, ask(s, "GET", "/comfreyplank/live", "", "").Code, 200)
+}
