Serve the operators' forms

Cause: operators were to create services, admit and retire endpoints and schedule stops through forms whose only output is one validated document; there was ctl only. Change: a console without script: forms edit a draft that the page carries, the page says in words what the draft changes, and the draft is applied whole or refused whole with each error beside its field. Its identity is made with it, so applying it twice changes nothing twice. Posts from other sites are refused. Measured: the tests walk through every form, a wrong number, an overtaken draft, a foreign post, a wrong key and text with markup. Conclusion: to be looked at in a browser at both widths.

--- /dev/null
+++ b/control/console/console_test.go
@@ -0,0 +1,161 @@
+package console
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/go-chi/chi/v5"
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/control/operator"
+	"comfreyplank.org/core/controller"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/validator"
+)
+
+// fake is a replica that takes every document.
+type fake struct {
+	current controller.AnswerDocument
+	applied []validator.Document
+	result  operator.Result
+	status  int
+}
+
+func (f *fake) ReadDocument(context.Context) (controller.AnswerDocument, error) { return f.current, nil }
+
+func (f *fake) Status() controller.Status {
+	return controller.Status{Replica: "c1", Endpoints: []registrar.Announcement{{Name: registrar.Name{Service: "rounds", Endpoint: "e1"}, State: "serving"}}}
+}
+
+func (f *fake) Apply(_ context.Context, document []byte) (int, operator.Result) {
+	doc, _ := validator.Parse(document)
+	f.applied = append(f.applied, doc)
+	return f.status, f.result
+}
+
+func (f *fake) Select(recorder.Filter) []recorder.Event { return nil }
+
+func newFake() *fake {
+	doc := validator.Document{Entries: 24, ChangeID: "c", Services: []validator.Service{{
+		Name: "rounds", QueueLimit: 10, Routes: []validator.Route{{PathPrefix: "/rounds", DeadlineMs: 1000, Class: validator.ClassInteractive}},
+	}}}
+	return &fake{
+		current: controller.AnswerDocument{Revision: 4, Document: doc, Confirmed: true},
+		status:  http.StatusOK, result: operator.Result{Status: "in-force", Detail: "accepted"},
+	}
+}
+
+func (f *fake) handler(key string) http.Handler {
+	r := chi.NewRouter()
+	New(f, f, f, key).Register(r)
+	return r
+}
+
+func post(h http.Handler, path string, header http.Header, fields ...string) *httptest.ResponseRecorder {
+	values := url.Values{}
+	for i := 0; i < len(fields); i += 2 {
+		values.Add(fields[i], fields[i+1])
+	}
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(values.Encode()))
+	r.Header = header.Clone()
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func (f *fake) draft(t *testing.T) string {
+	data, err := json.Marshal(newDraft(f.current))
+	assert.NilError(t, err)
+	return string(data)
+}
+
+func TestFormsChangeTheDraftOnly(t *testing.T) {
+	tests := []struct {
+		name   string
+		fields []string
+		want   string
+	}{
+		{"stop", []string{"action", "stop", "service", "rounds", "endpoint", "e1"}, "Endpoint e1 of rounds gets no new work at once."},
+		{"timed stop", []string{"action", "stop", "service", "rounds", "endpoint", "e1", "at", "2027-01-31T18:00:00Z"}, "from 2027-01-31T18:00:00Z on."},
+		{"bad time", []string{"action", "stop", "service", "rounds", "endpoint", "e1", "at", "later"}, "the time must be such as"},
+		{"entries", []string{"action", "system", "entries", "30"}, "At most 30 entries run at once, instead of 24."},
+		{"bad number", []string{"action", "system", "entries", "many"}, `id="entries-problem">must be a whole number`},
+		{"out of range", []string{"action", "system", "entries", "0"}, `id="entries-problem">must be from 1 to 10000`},
+		{"removed", []string{"action", "remove-service", "service", "rounds"}, "Service rounds is removed"},
+		{"new service", []string{
+			"action", "service", "name", "guides", "queue-limit", "1", "retry-percent", "2", "probe-ms-per-second", "3", "probe-bytes-per-second", "4",
+			"route-path-prefix", "/guides", "route-deadline-ms", "500", "route-class", "bulk", "route-execution", "", "route-host", "",
+		}, "Service guides is new, with 1 routes."},
+		{"changed service", []string{
+			"action", "service", "name", "rounds", "queue-limit", "11", "retry-percent", "0", "probe-ms-per-second", "0", "probe-bytes-per-second", "0",
+			"route-path-prefix", "/rounds", "route-deadline-ms", "x", "route-class", "interactive", "route-execution", "", "route-host", "",
+		}, `id="services[0].routes[0].deadline-ms-problem">must be a whole number`},
+		{"unknown", []string{"action", "override"}, "the form asks for nothing known"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFake()
+			w := post(f.handler(""), "/console/edit", nil, append(tt.fields, "draft", f.draft(t))...)
+			assert.Equal(t, w.Code, http.StatusOK)
+			assert.Assert(t, strings.Contains(w.Body.String(), tt.want), w.Body.String())
+			assert.Equal(t, len(f.applied), 0)
+		})
+	}
+}
+
+func TestDraftIsAppliedWholeOnce(t *testing.T) {
+	f := newFake()
+	draft := f.draft(t)
+	w := post(f.handler(""), "/console/apply", nil, "draft", draft)
+	assert.Equal(t, w.Code, http.StatusOK)
+	post(f.handler(""), "/console/apply", nil, "draft", draft)
+	assert.Equal(t, len(f.applied), 2)
+	assert.Equal(t, f.applied[0].ChangeID, f.applied[1].ChangeID)
+	assert.Equal(t, f.applied[0].BaseRevision, uint64(4))
+}
+
+func TestRefusalKeepsTheDraftAndShowsEachError(t *testing.T) {
+	f := newFake()
+	f.status = http.StatusUnprocessableEntity
+	f.result = operator.Result{Status: "refused", Detail: "not valid", Problems: []validator.Problem{{Path: "services[0].queue-limit", Detail: "is odd"}}}
+	w := post(f.handler(""), "/console/apply", nil, "draft", f.draft(t))
+	assert.Equal(t, w.Code, http.StatusUnprocessableEntity)
+	assert.Assert(t, strings.Contains(w.Body.String(), `id="services[0].queue-limit-problem">is odd`))
+}
+
+func TestOvertakenDraftCannotBeApplied(t *testing.T) {
+	f := newFake()
+	draft := f.draft(t)
+	f.current.Revision = 5
+	w := post(f.handler(""), "/console/edit", nil, "action", "system", "entries", "30", "draft", draft)
+	assert.Assert(t, strings.Contains(w.Body.String(), "Someone else has changed the configuration"))
+	assert.Assert(t, strings.Contains(w.Body.String(), "<button disabled>Apply"))
+}
+
+func TestPostsFromOtherSitesAndWithoutTheKeyAreRefused(t *testing.T) {
+	f := newFake()
+	w := post(f.handler(""), "/console/apply", http.Header{"Sec-Fetch-Site": {"cross-site"}}, "draft", f.draft(t))
+	assert.Equal(t, w.Code, http.StatusForbidden)
+	w = post(f.handler("secret"), "/console/apply", nil, "draft", f.draft(t), "key", "guess")
+	assert.Equal(t, w.Code, http.StatusForbidden)
+	assert.Equal(t, len(f.applied), 0)
+	w = post(f.handler("secret"), "/console/apply", nil, "draft", f.draft(t), "key", "secret")
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, len(f.applied), 1)
+}
+
+func TestTextIsEscaped(t *testing.T) {
+	f := newFake()
+	w := post(f.handler(""), "/console/edit", nil, "action", "stop", "service", "rounds", "endpoint", "<script>x</script>", "draft", f.draft(t))
+	assert.Assert(t, !strings.Contains(w.Body.String(), "<script>"))
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
+	"comfreyplank.org/control/console"
 	"comfreyplank.org/control/driver"
 	"comfreyplank.org/control/operator"
 	"comfreyplank.org/control/server"
@@ -46,7 +47,8 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	streams := server.New(d)
-	admin := adminServer(operator.New(d, events, s.OperatorKey))
+	operators := operator.New(d, events, s.OperatorKey)
+	admin := adminServer(operators, console.New(d, operators, events, s.OperatorKey))
 	failed := make(chan error, 1)
 	group.Go(func() { failed <- d.Run(ctx) })
 	group.Go(func() { logError("time line", events.Run(ctx)) })
@@ -67,9 +69,10 @@
 	return err
 }
 
-func adminServer(o *operator.Operator) *http.Server {
+func adminServer(o *operator.Operator, c *console.Console) *http.Server {
 	r := chi.NewRouter()
 	o.Register(r)
+	c.Register(r)
 	return &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
