--- a/bench/measure.go
+++ b/bench/measure.go
@@ -35,7 +35,11 @@
 	Recovery  int           `long:"recovery" default:"0" description:"changes after which a replica is restarted"`
 }
 
-const patience = 60 * time.Second
+const (
+	patience = 60 * time.Second
+	// firstEndpoint begins a run of ports that the system gives to nobody else.
+	firstEndpoint = "127.0.0.1:20000"
+)
 
 // Execute is part of flags.Commander.
 func (c *controlCommand) Execute([]string) error {
@@ -49,7 +53,7 @@
 		return err
 	}
 	defer s.Stop()
-	if err := s.AddStandin("rounds", "--count", strconv.Itoa(c.Endpoints), "--service-ms", "2", "--slots", "50"); err != nil {
+	if err := s.AddStandin("rounds", "--first", firstEndpoint, "--count", strconv.Itoa(c.Endpoints), "--service-ms", "2", "--slots", "50"); err != nil {
 		return err
 	}
 	if err := s.Start(); err != nil {
@@ -59,6 +63,9 @@
 	if err := m.ready(); err != nil {
 		return err
 	}
+	if err := m.awaitEndpoints(c.Endpoints); err != nil {
+		return err
+	}
 	fmt.Printf("%d replicas, %d entries, %d endpoints\n", c.Replicas, c.Entries, c.Endpoints)
 	m.rest(c.Rest)
 	if err := m.calm(c.Changes); err != nil {
@@ -90,6 +97,17 @@
 	return nil
 }
 
+// awaitEndpoints waits until a replica knows all endpoints.
+func (m *measurement) awaitEndpoints(n int) error {
+	err := stager.Until(patience, func() bool {
+		var status struct {
+			Endpoints []struct{} `json:"endpoints"`
+		}
+		return stager.Get("http://"+m.stage.Controls[0].Admin+"/comfreyplank/v1/status", &status) == nil && len(status.Endpoints) == n
+	})
+	return errors.Wrap(err, "endpoints")
+}
+
 // change applies the next document, at any replica but one.
 func (m *measurement) change(but *stager.Process) error {
 	document := stager.Document(m.revision, fmt.Sprint("change-", m.revision))
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -347,7 +347,6 @@
 	c.found(now)
 	c.admitPeers(now)
 	c.sayPresence(now)
-	c.expireEndpoints(now)
 	c.expireEntries(now)
 	c.expireReads(now)
 	c.expireClaims(now)
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -74,6 +74,7 @@
 		return
 	}
 	c.nextBeat = now.Add(presenceInterval)
+	c.expireEndpoints(now)
 	message := messenger.Presence{Member: c.self, Run: c.run, Founded: c.founded(), Registry: c.registryDigest()}
 	if c.leads() {
 		message.InForce = c.inForce
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -258,6 +258,7 @@
 	if s.stood && !s.Standing(now) {
 		s.stood = false
 		s.record(recorder.KindStanding, "lost: no majority of control replicas was heard in time")
+		s.updateAll(now) // with what endpoints last said themselves
 	}
 	s.resendCommands(now)
 	if expired := s.direct.Expire(now); len(expired) > 0 {
@@ -387,7 +388,9 @@
 	if s.connected {
 		s.do(Send{Message: messenger.Announced{Announcements: []registrar.Announcement{a}}})
 	}
-	s.update(now, a.Service)
+	if outcome == registrar.OutcomeChanged || !s.Standing(now) {
+		s.update(now, a.Service)
+	}
 }
 
 func (s *Subscriber) onEndpoints(now time.Time, v messenger.Endpoints) {
--- a/entry/server/server_test.go
+++ b/entry/server/server_test.go
@@ -45,7 +45,7 @@
 		{"goodbye", "DELETE", path, `{"incarnation":1,"sequence":3}`, "k", 200, 0},
 		{"wrong key", "PUT", path, whole, "x", 403, 0},
 		{"not JSON", "PUT", path, "{", "k", 400, 1},
-		{"unknown key", "PUT", path, `{"adress":""}`, "k", 400, 1},
+		{"unknown key", "PUT", path, `{"addresses":""}`, "k", 400, 1},
 		{"wrong type", "PUT", path, strings.Replace(whole, "6", `"6"`, 1), "k", 400, 1},
 		{"data after the end", "PUT", path, whole + "{}", "k", 400, 1},
 		{"too large", "PUT", path, strings.Repeat(" ", maxAnnouncementBytes) + whole, "k", 400, 1},
