--- a/control/console/console_test.go
+++ b/control/console/console_test.go
@@ -27,7 +27,9 @@
 	status  int
 }
 
-func (f *fake) ReadDocument(context.Context) (controller.AnswerDocument, error) { return f.current, nil }
+func (f *fake) ReadDocument(context.Context) (controller.AnswerDocument, error) {
+	return f.current, nil
+}
 
 func (f *fake) Status() controller.Status {
 	return controller.Status{Replica: "c1", Endpoints: []registrar.Announcement{{Name: registrar.Name{Service: "rounds", Endpoint: "e1"}, State: "serving"}}}
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -465,3 +465,18 @@
 		}
 	}
 }
+
+func BenchmarkCall(b *testing.B) {
+	w := newBench(12, 10)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now = w.now.Add(100 * time.Microsecond)
+		w.dispatched = w.dispatched[:0]
+		w.delivered = w.delivered[:0]
+		w.call(router.Repeatable)
+		w.answer(w.dispatched[0], 200)
+		if w.last%100 == 0 {
+			w.do(Tick{})
+		}
+	}
+}
