Let a claim wait for a leader, and keep replicas within their memory

Cause: under 4,000 once-only calls a second some entries refused hundreds of calls in a moment. The time line named the reason: no leader of the claims log. Replicas reached 148 MB. Ruled out: lost standing (every entry kept it).

--- a/bench/measure.go
+++ b/bench/measure.go
@@ -283,6 +283,38 @@
 	group.Wait()
 	fmt.Printf("once-only: %.0f answered a second, %d not\n", float64(len(times))/d.Seconds(), failed.Load())
 	summarise("once-only, claim and 2 ms of work", times)
+	if failed.Load() > 0 {
+		m.reasons()
+	}
+	for _, p := range m.stage.Controls {
+		fmt.Printf("after %d claims %s has %s resident\n", len(times), p.Name, resident(p.Pid()))
+	}
+}
+
+// reasons shows what the entries say of the calls that they did not answer.
+func (m *measurement) reasons() {
+	for _, e := range m.stage.Entries {
+		var timeline struct {
+			Events []struct {
+				Kind   string `json:"kind"`
+				Detail string `json:"detail"`
+			} `json:"events"`
+		}
+		if stager.Get("http://"+e.Admin+"/comfreyplank/v1/timeline", &timeline) != nil {
+			continue
+		}
+		counts := make(map[string]int)
+		for _, event := range timeline.Events {
+			if event.Kind != "attempt-hedged" {
+				counts[event.Kind+": "+event.Detail]++
+			}
+		}
+		for what, n := range counts {
+			if n > 1 || strings.HasPrefix(what, "standing") {
+				fmt.Printf("%s %d times %s\n", e.Name, n, what)
+			}
+		}
+	}
 }
 
 func pledge(client *http.Client, e *stager.Process) bool {
--- a/control/main.go
+++ b/control/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"comfreyplank.org/shell/configurer"
@@ -15,6 +16,10 @@
 
 func main() { os.Exit(run()) }
 
+// memoryLimit is where collections become more frequent, so that garbage of bursts and
+// snapshots does not take a replica beyond the 128 MB that it may use.
+const memoryLimit = 100 << 20
+
 // threads bounds the threads that run at once: a replica sleeps most of the time, and
 // waking more of them costs more than it gains.
 const threads = 2
@@ -28,6 +33,9 @@
 	if os.Getenv("GOMAXPROCS") == "" {
 		runtime.GOMAXPROCS(min(threads, runtime.NumCPU()))
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := serve(stop, settings); err != nil {
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -315,6 +315,23 @@
 	assert.Equal(t, settle.Unknown, false)
 }
 
+func TestClaimIsMadeAgainUntilThereIsALeader(t *testing.T) {
+	w := newBench(3, 10)
+	w.call(router.OnceOnly)
+	attempt := w.claims[0].Command.(claimer.Claim).Attempt
+	w.do(ClaimDecided{Call: 1, Attempt: attempt, Refused: true})
+	assert.Equal(t, len(w.refused), 0)
+	w.pass(claimAgain + TickInterval)
+	assert.Equal(t, len(w.claims), 2)
+	w.grant()
+	assert.Equal(t, len(w.dispatched), 1)
+	w.call(router.OnceOnly)
+	w.do(ClaimDecided{Call: 2, Attempt: w.claims[2].Command.(claimer.Claim).Attempt, Refused: true})
+	w.do(ClaimDecided{Call: 2, Attempt: attempt, Refused: true}) // of another call
+	w.pass(2 * time.Second)
+	assert.Equal(t, w.refused[len(w.refused)-1].Outcome, OutcomeNotRun)
+}
+
 func TestLateGrantIsGivenBack(t *testing.T) {
 	w := newBench(3, 10)
 	w.call(router.OnceOnly)
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -31,7 +31,7 @@
 const (
 	phaseNew phase = iota
 	phaseClaiming
-	phaseWaiting // for the attempt that holds the key
+	phaseWaiting // for the attempt that holds the key, or a leader
 	phaseQueued
 	phaseRunning
 )
@@ -294,7 +294,7 @@
 		}
 	case c.mayHaveRun:
 		reason = ReasonKeyPending
-	case c.phase == phaseClaiming:
+	case c.phase == phaseClaiming || c.phase == phaseWaiting:
 		reason = ReasonClaim
 	}
 	b.refuse(now, c, reason)
--- a/core/balancer/once.go
+++ b/core/balancer/once.go
@@ -48,7 +48,8 @@
 		return
 	}
 	if v.Refused {
-		b.refuse(now, c, ReasonClaim)
+		c.phase = phaseWaiting // for a leader of the claims log
+		b.schedule(now.Add(claimAgain), c.ID, timerClaim)
 		return
 	}
 	switch v.Verdict {
@@ -82,7 +83,7 @@
 	}
 }
 
-// onClaimDue asks again for a key that another attempt held.
+// onClaimDue asks again for a key that another attempt held, or nobody could give.
 func (b *Balancer) onClaimDue(_ time.Time, c *call) {
 	if c.phase == phaseWaiting {
 		b.sendClaim(c)
@@ -104,7 +105,7 @@
 // giveUpClaim releases a key that is ours, or a claim on its way. The attempt that
 // it was made for has not run.
 func (b *Balancer) giveUpClaim(c *call) {
-	if c.claim == "" || c.phase == phaseWaiting {
+	if c.claim == "" {
 		return
 	}
 	b.do(ClaimKey{Call: c.ID, Command: claimer.Release{Key: b.keyOf(c), Attempt: c.claim}})
--- a/core/claimer/claimer.go
+++ b/core/claimer/claimer.go
@@ -13,8 +13,9 @@
 const (
 	// DefaultRetention is how long a key is kept after its claim.
 	DefaultRetention = 24 * time.Hour
-	// DefaultCapacity is the number of keys that may be kept at once.
-	DefaultCapacity = 200_000
+	// DefaultCapacity is the number of keys that may be kept at once, so that a
+	// replica stays within 128 MB.
+	DefaultCapacity = 80_000
 	// MaxAnswerBytes is the largest answer that is kept.
 	MaxAnswerBytes = 4 << 10
 	// MaxKeyBytes is the longest key.
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -40,6 +40,8 @@
 const (
 	configLogLength = 256
 	claimsLogLength = 20_000
+	// claimsLogPerKey is how many entries a key may add before a snapshot.
+	claimsLogPerKey = 1
 )
 
 // Conn identifies a stream of an entry.
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -143,7 +143,8 @@
 func (c *Controller) compact(g *group) {
 	limit := configLogLength
 	if g.id == messenger.GroupClaims {
-		limit = claimsLogLength
+		// A snapshot costs as much as the state is large, so it is made in proportion.
+		limit = max(claimsLogLength, claimsLogPerKey*c.claimer.Len())
 	}
 	if g.persisting || g.replica.LogLength() <= limit {
 		return
