Refuse announcements for unknown services, and prove silent streams between processes

Cause: the issue asks for a clear 4xx for an unknown service, for a run without curl, and for silent streams between the system's own processes; the last two were claimed only. Change: an entry with a configuration answers 404 to an announcement for a service that is not in it; the demonstration needs bash alone to ask for readiness; a test relay forgets the stream of an entry again and again; a test for Expect: 100-continue. Between replicas the same signs of life are used, without a test yet.

--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -20,6 +20,13 @@
   eval "pid_${name//-/_}=$!"
 }
 
+ready() ( # ready PORT: whether the entry passes its readiness check
+  exec 3<>"/dev/tcp/127.0.0.1/$1" || exit 1
+  printf 'GET /comfreyplank/ready HTTP/1.0\r\n\r\n' >&3
+  read -r _ status _ <&3
+  [ "$status" = 200 ]
+) 2>/dev/null
+
 peers=(--peer c1=127.0.0.1:17101 --peer c2=127.0.0.1:17102 --peer c3=127.0.0.1:17103)
 for i in 1 2 3; do
   start "c$i" bin/control --name "c$i" --data "$work/c$i" --listen "127.0.0.1:1710$i" --admin "127.0.0.1:1720$i" "${peers[@]}"
@@ -44,8 +51,9 @@
 done
 cat "$work/apply"
 for i in 1 2; do
-  until curl -sf -o /dev/null "127.0.0.1:1730$i/comfreyplank/ready"; do sleep 0.1; done
+  until ready "1730$i"; do sleep 0.1; done
 done
+until [ "$(ctl status | grep -c ' serving ')" -ge "${#endpoints[@]}" ]; do sleep 0.1; done
 ctl status
 
 echo "== mixed load, while things happen"
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -99,12 +99,7 @@
 
 // awaitEndpoints waits until a replica knows all endpoints.
 func (m *measurement) awaitEndpoints(n int) error {
-	err := stager.Until(patience, func() bool {
-		var status struct {
-			Endpoints []struct{} `json:"endpoints"`
-		}
-		return stager.Get("http://"+m.stage.Controls[0].Admin+"/comfreyplank/v1/status", &status) == nil && len(status.Endpoints) == n
-	})
+	err := stager.Until(patience, func() bool { return m.stage.Controls[0].KnowsAll(n) })
 	return errors.Wrap(err, "endpoints")
 }
 
--- /dev/null
+++ b/bench/stager/silence_test.go
@@ -0,0 +1,115 @@
+package stager
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// relay passes connections on, and can forget those that are open: nothing passes
+// over them any more, and neither end is told, while new ones work.
+type relay struct {
+	listener net.Listener
+	target   string
+	group    sync.WaitGroup
+
+	mu       sync.Mutex
+	open     []*atomic.Bool
+	accepted int
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &relay{listener: listener, target: target}
+	r.group.Go(r.accept)
+	t.Cleanup(func() { _ = listener.Close() })
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		forgotten := &atomic.Bool{}
+		r.mu.Lock()
+		r.open = append(r.open, forgotten)
+		r.accepted++
+		r.mu.Unlock()
+		r.group.Go(func() { pass(near, far, forgotten) })
+		r.group.Go(func() { pass(far, near, forgotten) })
+	}
+}
+
+// pass copies one direction; what comes on a forgotten connection is swallowed.
+func pass(from, to net.Conn, forgotten *atomic.Bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if forgotten.Load() {
+			if err != nil {
+				return // the other end learns nothing
+			}
+			continue
+		}
+		if err == nil {
+			_, err = to.Write(buffer[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+func (r *relay) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, forgotten := range r.open {
+		forgotten.Store(true)
+	}
+	r.open = nil
+	r.accepted = 0
+}
+
+func (r *relay) reopened() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted > 0
+}
+
+// TestEntryLeavesSilentStream forgets the stream between an entry and its replica,
+// again and again; the entry opens another one each time and takes up changes.
+func TestEntryLeavesSilentStream(t *testing.T) {
+	s, err := New(bin, t.TempDir(), 1, 1)
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	between := newRelay(t, s.Controls[0].Listen)
+	e := s.Entries[0]
+	e.args = append(e.args[:len(e.args)-1], between.listener.Addr().String())
+	assert.NilError(t, s.Start())
+	for revision := range uint64(4) {
+		r := s.apply(t, Document(revision, "change-"+string(rune('a'+revision))))
+		assert.Equal(t, r.Answer.Revision, revision+1)
+		assert.NilError(t, Until(patience, e.Ready))
+		between.forget()
+		assert.NilError(t, Until(patience, between.reopened))
+	}
+	assert.NilError(t, Until(patience, e.Ready))
+	var ready struct {
+		Revision uint64 `json:"revision"`
+	}
+	assert.NilError(t, Until(patience, func() bool {
+		return Get("http://"+e.Listen+"/comfreyplank/ready", &ready) == nil && ready.Revision == 4
+	}))
+}
--- a/bench/stager/stager.go
+++ b/bench/stager/stager.go
@@ -228,6 +228,14 @@
 	return errors.Wrap(json.Unmarshal(data, into), "get")
 }
 
+// KnowsAll reports whether a replica knows so many endpoints.
+func (p *Process) KnowsAll(endpoints int) bool {
+	var status struct {
+		Endpoints []struct{} `json:"endpoints"`
+	}
+	return Get("http://"+p.Admin+"/comfreyplank/v1/status", &status) == nil && len(status.Endpoints) == endpoints
+}
+
 // Runs returns how often each key was run by all stand-ins.
 func (s *Stage) Runs() (map[string]int, error) {
 	runs := make(map[string]int)
--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -49,10 +49,19 @@
 	}
 	assert.NilError(t, s.Start())
 	s.apply(t, Document(0, "first"))
+	s.await(t)
+	return s
+}
+
+// await waits until every entry is ready and every replica knows all endpoints.
+func (s *Stage) await(t *testing.T) {
+	t.Helper()
 	for _, e := range s.Entries {
 		assert.NilError(t, Until(patience, e.Ready))
 	}
-	return s
+	for _, c := range s.Controls {
+		assert.NilError(t, Until(patience, func() bool { return c.KnowsAll(len(s.Standins)) }))
+	}
 }
 
 // apply sends a change to one replica after the other until it is answered for good.
@@ -266,8 +275,8 @@
 	assert.NilError(t, s.AddStandin("rounds", "--service-ms", "800", "--spread", "0", "--slots", "50"))
 	assert.NilError(t, s.Start())
 	s.apply(t, Document(0, "first"))
+	s.await(t)
 	leaving := s.Entries[0]
-	assert.NilError(t, Until(patience, leaving.Ready))
 	var group sync.WaitGroup
 	for i := range 8 {
 		group.Go(func() {
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -238,6 +238,13 @@
 // Revision returns the revision in force, and whether there is one.
 func (s *Subscriber) Revision() (uint64, bool) { return s.revision, s.configured }
 
+// Knows reports whether a service may exist: it is in the configuration in force, or
+// there is none yet.
+func (s *Subscriber) Knows(service string) bool {
+	_, ok := s.document.Service(service)
+	return ok || !s.configured
+}
+
 // Standing reports whether the entry is known to be up to date.
 func (s *Subscriber) Standing(now time.Time) bool { return now.Before(s.standingUntil) }
 
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -179,6 +179,25 @@
 	assert.Equal(t, hints, http.StatusEarlyHints)
 }
 
+func TestBodyThatWaitsForLeaveIsAskedFor(t *testing.T) {
+	f := newFixture(t, endpoint(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+	transport := &http.Transport{ExpectContinueTimeout: time.Minute}
+	t.Cleanup(transport.CloseIdleConnections)
+	r := f.request("PUT", "/", "body", "Expect", "100-continue")
+	response, err := transport.RoundTrip(r)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "body")
+	none := newFixture(t)
+	r = none.request("PUT", "/", "body", "Expect", "100-continue", "Comfreyplank-Timeout-Ms", "soon")
+	response, err = transport.RoundTrip(r)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+}
+
 // cutter answers with a length and closes the connection before it is reached.
 func cutter(t *testing.T, length, sent int, hits *atomic.Int32) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -108,6 +108,13 @@
 	return configured && f.machine.Standing(f.now())
 }
 
+// Knows reports whether a service may exist.
+func (f *Follower) Knows(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Knows(service)
+}
+
 // Settled reports whether nothing waits for the claims log.
 func (f *Follower) Settled() bool {
 	f.mu.Lock()
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -24,6 +24,7 @@
 type Entry interface {
 	Announce(a registrar.Announcement)
 	Ready() bool
+	Knows(service string) bool
 	Revision() uint64
 }
 
@@ -138,6 +139,10 @@
 		reporter.Problem{Status: http.StatusBadRequest, Detail: "the announcement is not valid", Errors: problems}.Write(w, reporter.OutcomeNotRun)
 		return
 	}
+	if !s.entry.Knows(a.Service) {
+		reporter.Problem{Status: http.StatusNotFound, Detail: "the configuration has no such service"}.Write(w, reporter.OutcomeNotRun)
+		return
+	}
 	s.entry.Announce(a)
 	if !s.entry.Ready() {
 		problem := reporter.Problem{Status: http.StatusServiceUnavailable, Detail: "this instance has no standing; tell another one too"}
--- a/entry/server/server_test.go
+++ b/entry/server/server_test.go
@@ -21,6 +21,7 @@
 func (e *fakeEntry) Announce(a registrar.Announcement) { e.announced = append(e.announced, a) }
 func (e *fakeEntry) Ready() bool                       { return e.ready }
 func (e *fakeEntry) Revision() uint64                  { return 7 }
+func (e *fakeEntry) Knows(service string) bool         { return service != "unknown" }
 
 const (
 	path  = "/comfreyplank/v1/services/rounds/endpoints/e1"
@@ -51,6 +52,7 @@
 		{"too large", "PUT", path, strings.Repeat(" ", maxAnnouncementBytes) + whole, "k", 400, 1},
 		{"many errors", "PUT", path, `{}`, "k", 400, 6},
 		{"bad name", "PUT", "/comfreyplank/v1/services/a%20b/endpoints/e1", whole, "k", 400, 1},
+		{"unknown service", "PUT", "/comfreyplank/v1/services/unknown/endpoints/e1", whole, "k", 404, 0},
 		{"wrong method", "POST", path, whole, "k", 405, 0},
 	}
 	for _, tt := range tests {
