Let the time line's clock follow messages between processes

Cause: the hybrid logical clock was there, but no message carried a stamp, so events of several processes were ordered by their wall clocks only; the wire form had no test. Change: messages between processes carry stamps; one more than a minute ahead is not followed; every message and stored form is sent through its bytes in a test.

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -30,6 +30,7 @@
 // Driver runs one replica.
 type Driver struct {
 	publish  func(recorder.Event)
+	clock    Clock
 	peers    *peers
 	journals map[messenger.Group]*worker
 	lock     *journaler.Lock
@@ -83,7 +84,7 @@
 }
 
 // New opens the data folder and makes the machine of the replica.
-func New(group *sync.WaitGroup, folder, name, address string, opts ...Option) (*Driver, error) {
+func New(group *sync.WaitGroup, clock Clock, folder, name, address string, opts ...Option) (*Driver, error) {
 	o := options{publish: func(recorder.Event) {}}
 	for _, opt := range opts {
 		opt(&o)
@@ -94,6 +95,7 @@
 	}
 	d := &Driver{
 		publish:   o.publish,
+		clock:     clock,
 		journals:  make(map[messenger.Group]*worker),
 		lock:      lock,
 		group:     group,
@@ -140,7 +142,7 @@
 // Run lets time pass until the context ends or a journal fails for good.
 func (d *Driver) Run(ctx context.Context) error {
 	d.mu.Lock()
-	d.peers = newPeers(ctx, d.group)
+	d.peers = newPeers(ctx, d.group, d.clock)
 	d.mu.Unlock()
 	var workers sync.WaitGroup
 	for _, w := range d.journals {
--- a/control/driver/peers.go
+++ b/control/driver/peers.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/shell/encoder"
 	"comfreyplank.org/shell/encoder/wire"
 )
@@ -28,15 +29,22 @@
 // AliveInterval is how long a stream may say nothing before it says just that.
 const AliveInterval = aliveInterval
 
+// Clock orders events over all processes by the stamps on their messages.
+type Clock interface {
+	Stamp() recorder.Stamp
+	Observe(s recorder.Stamp)
+}
+
 // peers keeps one outgoing stream to each replica that was ever written to.
 type peers struct {
 	ctx   context.Context //nolint:containedctx // the life of the process, for streams opened later
 	group *sync.WaitGroup
+	clock Clock
 	queue map[string]chan messenger.ToPeer
 }
 
-func newPeers(ctx context.Context, group *sync.WaitGroup) *peers {
-	return &peers{ctx: ctx, group: group, queue: make(map[string]chan messenger.ToPeer)}
+func newPeers(ctx context.Context, group *sync.WaitGroup, clock Clock) *peers {
+	return &peers{ctx: ctx, group: group, clock: clock, queue: make(map[string]chan messenger.ToPeer)}
 }
 
 // send hands a message to the stream of an address. It is called by one caller at
@@ -92,16 +100,18 @@
 			heard.Reset(messenger.SilenceLimit)
 		}
 	})
-	return write(ctx, stream, queue)
+	return p.write(ctx, stream, queue)
 }
 
-func write(ctx context.Context, stream wire.Control_ExchangeClient, queue chan messenger.ToPeer) error {
+func (p *peers) write(ctx context.Context, stream wire.Control_ExchangeClient, queue chan messenger.ToPeer) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-queue:
-			if err := stream.Send(batch(m, queue)); err != nil {
+			out := batch(m, queue)
+			out.Stamp = encoder.EncodeStamp(p.clock.Stamp())
+			if err := stream.Send(out); err != nil {
 				return err
 			}
 		}
--- a/control/serve.go
+++ b/control/serve.go
@@ -34,7 +34,7 @@
 	var group sync.WaitGroup
 	events := publisher.New(s.Name, publisher.DefaultCapacity)
 	publish := func(e recorder.Event) { events.Publish(time.Now(), e) }
-	d, err := driver.New(&group, s.Data, s.Name, s.Listen, driver.WithPeers(s.members()), driver.WithPublish(publish))
+	d, err := driver.New(&group, events, s.Data, s.Name, s.Listen, driver.WithPeers(s.members()), driver.WithPublish(publish))
 	if err != nil {
 		return err
 	}
@@ -46,7 +46,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	streams := server.New(d)
+	streams := server.New(d, events)
 	operators := operator.New(d, events, s.OperatorKey)
 	admin := adminServer(operators, console.New(d, operators, events, s.OperatorKey))
 	failed := make(chan error, 1)
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -21,12 +21,13 @@
 type Server struct {
 	wire.UnimplementedControlServer
 	driver *driver.Driver
+	clock  driver.Clock
 }
 
 // New returns the protocol server of a replica.
-func New(d *driver.Driver) *grpc.Server {
+func New(d *driver.Driver, clock driver.Clock) *grpc.Server {
 	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes))
-	wire.RegisterControlServer(s, &Server{driver: d})
+	wire.RegisterControlServer(s, &Server{driver: d, clock: clock})
 	return s
 }
 
@@ -60,6 +61,7 @@
 }
 
 func (s *Server) fromEntry(stream *driver.Stream, m *wire.FromEntry) {
+	s.clock.Observe(encoder.DecodeStamp(m.GetStamp()))
 	if m.GetAlive() != nil {
 		return
 	}
@@ -86,19 +88,20 @@
 			}
 		case m := <-stream.Send:
 			ticker.Reset(driver.AliveInterval)
-			if err := send(client, m); err != nil {
+			if err := s.send(client, m); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func send(client wire.Control_FollowServer, m messenger.ToEntry) error {
+func (s *Server) send(client wire.Control_FollowServer, m messenger.ToEntry) error {
 	encoded, err := encoder.EncodeToEntry(m)
 	if err != nil {
 		slog.Warn("message to an entry dropped", "error", err)
 		return nil
 	}
+	encoded.Stamp = encoder.EncodeStamp(s.clock.Stamp())
 	return client.Send(encoded)
 }
 
@@ -123,6 +126,7 @@
 }
 
 func (s *Server) fromPeer(m *wire.FromPeers) {
+	s.clock.Observe(encoder.DecodeStamp(m.GetStamp()))
 	messages := make([]messenger.ToPeer, 0, len(m.GetMessages()))
 	for _, encoded := range m.GetMessages() {
 		message, err := encoder.DecodeToPeer(encoded)
--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -80,9 +80,13 @@
 	return c.last
 }
 
+// maxAhead is how far ahead of the own wall clock another process may be: one wrong
+// clock must not drag all others along.
+const maxAhead = time.Minute
+
 // Observe takes note of a stamp from another process.
-func (c *Clock) Observe(s Stamp) {
-	if c.last.Before(s) {
+func (c *Clock) Observe(now time.Time, s Stamp) {
+	if c.last.Before(s) && s.Wall <= now.Add(maxAhead).UnixMilli() {
 		c.last = s
 	}
 }
--- a/core/recorder/recorder_test.go
+++ b/core/recorder/recorder_test.go
@@ -11,12 +11,15 @@
 	var c Clock
 	now := time.UnixMilli(5000)
 	last := c.Next(now)
-	c.Observe(Stamp{Wall: 9000, Count: 4})
+	assert.Equal(t, last.Wall, int64(5000))
+	c.Observe(now, Stamp{Wall: 9000, Count: 4})
+	c.Observe(now, Stamp{Wall: now.Add(time.Hour).UnixMilli()}) // a wrong clock
 	for _, at := range []time.Time{now, now.Add(-time.Hour), time.UnixMilli(9000), time.UnixMilli(9001), now} {
 		next := c.Next(at)
 		assert.Assert(t, last.Before(next))
 		last = next
 	}
+	assert.Equal(t, last.Wall, int64(9001))
 }
 
 func TestRingKeepsTheLatest(t *testing.T) {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -31,6 +31,7 @@
 type Follower struct {
 	now        func() time.Time
 	publish    func(recorder.Event)
+	clock      Clock
 	dispatcher *dispatcher.Dispatcher
 	options    []grpc.DialOption
 	ctx        context.Context //nolint:containedctx // the life of the process, for streams opened later
@@ -56,11 +57,18 @@
 	return func(f *Follower) { f.publish = publish }
 }
 
+// Clock orders events over all processes by the stamps on their messages.
+type Clock interface {
+	Stamp() recorder.Stamp
+	Observe(s recorder.Stamp)
+}
+
 // New returns a follower of the replicas at the given addresses.
-func New(ctx context.Context, group *sync.WaitGroup, hello messenger.Hello, replicas []string, d *dispatcher.Dispatcher, opts ...Option) *Follower {
+func New(ctx context.Context, group *sync.WaitGroup, hello messenger.Hello, replicas []string, d *dispatcher.Dispatcher, clock Clock, opts ...Option) *Follower {
 	f := &Follower{
 		now:        time.Now,
 		publish:    func(recorder.Event) {},
+		clock:      clock,
 		dispatcher: d,
 		ctx:        ctx,
 		group:      group,
@@ -226,6 +234,7 @@
 }
 
 func (f *Follower) receive(s *stream, m *wire.FromControl) {
+	f.clock.Observe(encoder.DecodeStamp(m.GetStamp()))
 	if m.GetAlive() != nil {
 		f.handleFrom(s, subscriber.Said{})
 		return
@@ -251,6 +260,7 @@
 				slog.Warn("message to control dropped", "error", err)
 				continue
 			}
+			encoded.Stamp = encoder.EncodeStamp(f.clock.Stamp())
 			if client.Send(encoded) != nil {
 				return
 			}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -55,7 +55,7 @@
 		Count:   counter.New(prometheus.DefaultRegisterer),
 	})
 	hello := messenger.Hello{Entry: s.Name, DataCentre: s.DataCentre, Admin: s.Admin}
-	i.follower = follower.New(i.ctx, &i.group, hello, s.Control, i.dispatcher, follower.WithPublish(i.publish))
+	i.follower = follower.New(i.ctx, &i.group, hello, s.Control, i.dispatcher, i.publisher, follower.WithPublish(i.publish))
 	i.server = server.New(i.follower, s.AnnounceKey)
 	return i
 }
--- a/shell/encoder/encoder.go
+++ b/shell/encoder/encoder.go
@@ -9,6 +9,7 @@
 
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/shell/encoder/wire"
 )
@@ -75,6 +76,16 @@
 	}
 }
 
+// EncodeStamp returns the wire form of a stamp.
+func EncodeStamp(s recorder.Stamp) *wire.Stamp {
+	return &wire.Stamp{WallMs: s.Wall, Count: s.Count}
+}
+
+// DecodeStamp reads a stamp; a missing one is the zero stamp.
+func DecodeStamp(s *wire.Stamp) recorder.Stamp {
+	return recorder.Stamp{Wall: s.GetWallMs(), Count: s.GetCount()}
+}
+
 // each converts the items of a list.
 func each[A, B any](list []A, convert func(A) B) []B {
 	if len(list) == 0 {
--- /dev/null
+++ b/shell/encoder/encoder_test.go
@@ -0,0 +1,127 @@
+package encoder
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/allotter"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
+	"comfreyplank.org/shell/encoder/wire"
+)
+
+var (
+	name         = registrar.Name{Service: "s", Endpoint: "e"}
+	announcement = registrar.Announcement{
+		Name: name, Address: "127.0.0.1:1", DataCentre: "dc", Slots: 2, Connections: 3, State: registrar.StateDraining,
+		Incarnation: 4, Sequence: 5, Load: 6, Gone: true,
+	}
+	share   = messenger.ServiceShare{Service: "s", Share: allotter.Share{ProbeMicros: 1, ProbeBytes: 2}, Life: time.Second}
+	member  = replicator.Member{ID: "i", Name: "n", Address: "a", Voter: true}
+	entries = []replicator.Entry{{Index: 1, Term: 2, Kind: replicator.EntryMembership, Data: []byte("d")}}
+)
+
+// cross sends a message through its bytes.
+func cross[M proto.Message](t *testing.T, from, to M) {
+	t.Helper()
+	data, err := proto.Marshal(from)
+	assert.NilError(t, err)
+	assert.NilError(t, proto.Unmarshal(data, to))
+}
+
+func TestMessagesToControlSurviveTheWire(t *testing.T) {
+	for _, m := range []messenger.ToControl{
+		messenger.Hello{Entry: "e", DataCentre: "d", Admin: "a", Revision: 1},
+		messenger.Beat{Sequence: 1, Revision: 2, Leaving: []messenger.Leaving{{Name: name, InFlight: 3}}},
+		messenger.Announced{Announcements: []registrar.Announcement{announcement}},
+		messenger.Claiming{Request: 1, Command: claimer.Claim{Key: claimer.Key{Service: "s", Value: "k"}, Attempt: "a", Fingerprint: "f"}},
+	} {
+		encoded, err := EncodeToControl(m)
+		assert.NilError(t, err)
+		var arrived wire.FromEntry
+		cross(t, encoded, &arrived)
+		got, err := DecodeToControl(&arrived)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, m)
+	}
+	_, err := DecodeToControl(&wire.FromEntry{})
+	assert.ErrorIs(t, err, ErrUnknownMessage)
+}
+
+func TestMessagesToEntrySurviveTheWire(t *testing.T) {
+	for _, m := range []messenger.ToEntry{
+		messenger.Configured{Revision: 1, Document: validator.Document{ChangeID: "c", Services: []validator.Service{{Name: "s"}}}},
+		messenger.BeatAnswer{Sequence: 1, Standing: true, Shares: []messenger.ServiceShare{share}},
+		messenger.Endpoints{Full: true, Changed: []registrar.Announcement{announcement}, Removed: []registrar.Name{name}},
+		messenger.Claimed{Request: 1, Refused: true, Result: claimer.Result{Verdict: claimer.VerdictDone, Answer: claimer.Answer{Status: 201, Kept: true, Body: []byte("b")}}},
+	} {
+		encoded, err := EncodeToEntry(m)
+		assert.NilError(t, err)
+		var arrived wire.FromControl
+		cross(t, encoded, &arrived)
+		got, err := DecodeToEntry(&arrived)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, m)
+	}
+	_, err := DecodeToEntry(&wire.FromControl{})
+	assert.ErrorIs(t, err, ErrUnknownMessage)
+}
+
+func TestMessagesToPeersSurviveTheWire(t *testing.T) {
+	messages := []messenger.ToPeer{
+		messenger.Presence{Member: member, Run: 1, Founded: true, InForce: 2, Registry: 3},
+		messenger.EndpointNews{Announcements: []registrar.Announcement{announcement}, Renewals: []messenger.Renewal{{Name: name, Incarnation: 1, Sequence: 2, Load: 3}}},
+		messenger.ShareRequest{Sent: 1, From: "f", Run: 2, Entries: 3},
+		messenger.ShareReply{Sent: 1, Run: 2, Shares: []messenger.ServiceShare{share}},
+	}
+	for _, m := range []replicator.Message{
+		replicator.VoteRequest{LastIndex: 1, LastTerm: 2, Pre: true, Handover: true},
+		replicator.VoteReply{Granted: true, Pre: true},
+		replicator.Append{PrevIndex: 1, PrevTerm: 2, Entries: entries, Commit: 3, Round: 4, Echo: 5, EchoRun: 6, QuorumAge: -1},
+		replicator.AppendReply{OK: true, Match: 1, Round: 2, Sent: 3, Run: 4, Report: 5},
+		replicator.SnapshotPiece{Index: 1, LogTerm: 2, Members: replicator.Membership{member}, Offset: 3, Data: []byte("d"), Done: true, Round: 4},
+		replicator.SnapshotReply{Index: 1, Offset: 2, Round: 3},
+		replicator.Forward{Data: []byte("d")},
+		replicator.ReadRequest{Read: 1},
+		replicator.ReadReply{Read: 1, Index: 2},
+		replicator.TakeOver{},
+	} {
+		envelope := replicator.Envelope{From: "a", To: "b", Term: 7, Message: m}
+		messages = append(messages, messenger.Replicated{Group: messenger.GroupClaims, Envelope: envelope})
+	}
+	for _, m := range messages {
+		encoded, err := EncodeToPeer(m)
+		assert.NilError(t, err)
+		var arrived wire.FromPeer
+		cross(t, encoded, &arrived)
+		got, err := DecodeToPeer(&arrived)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, m)
+	}
+	_, err := DecodeToPeer(&wire.FromPeer{})
+	assert.ErrorIs(t, err, ErrUnknownMessage)
+}
+
+func TestStoredFormsSurvive(t *testing.T) {
+	f := Frame{Base: &Base{Index: 1, Term: 2}, State: &replicator.HardState{Term: 3, Vote: "v"}, Entries: entries}
+	data, err := EncodeFrame(f)
+	assert.NilError(t, err)
+	got, err := DecodeFrame(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, f)
+	s := replicator.Snapshot{Index: 1, Term: 2, Members: replicator.Membership{member}, Data: []byte("d")}
+	data, err = EncodeSnapshot(s)
+	assert.NilError(t, err)
+	again, err := DecodeSnapshot(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, s)
+	stamp := recorder.Stamp{Wall: 9, Count: 8}
+	assert.Equal(t, DecodeStamp(EncodeStamp(stamp)), stamp)
+}
--- a/shell/publisher/publisher.go
+++ b/shell/publisher/publisher.go
@@ -62,11 +62,18 @@
 	}
 }
 
+// Stamp returns the stamp of a message that leaves now.
+func (p *Publisher) Stamp() recorder.Stamp {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Next(time.Now())
+}
+
 // Observe lets the clock follow the stamp of another process.
 func (p *Publisher) Observe(s recorder.Stamp) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.clock.Observe(s)
+	p.clock.Observe(time.Now(), s)
 }
 
 // Lost returns how many events were dropped.
