Refuse a large header with a problem body

Cause: the server's own 431 is plain text, without an outcome. Change: the handler bounds the header at 64 KiB and answers with a problem; the listener's bound lies far above. Measured: a test; nothing on the path but a sum over the header's lengths.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -26,9 +26,10 @@
 
 // Limits of the servers.
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes is far above what the handler accepts.
+	maxHeaderBytes = 8 * server.MaxHeaderBytes
 	drainInterval  = 20 * time.Millisecond
 )
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -45,7 +45,7 @@
 // for the system itself goes to calls.
 func (s *Server) Public(calls http.Handler) http.Handler {
 	r := chi.NewRouter()
-	r.Use(s.closeWhenStopping)
+	r.Use(s.closeWhenStopping, boundHeader)
 	r.Get("/comfreyplank/ready", s.ready)
 	r.Get("/comfreyplank/live", live)
 	r.Put("/comfreyplank/v1/services/{service}/endpoints/{endpoint}", s.announce)
@@ -66,6 +66,28 @@
 	})
 }
 
+// MaxHeaderBytes bounds the header of a caller's request.
+const MaxHeaderBytes = 64 << 10
+
+// boundHeader refuses a header that is too large with a problem that says so; the
+// listener's own bound, far above, can only cut the connection.
+func boundHeader(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := len(r.RequestURI)
+		for name, values := range r.Header {
+			for _, value := range values {
+				size += len(name) + len(value)
+			}
+		}
+		if size > MaxHeaderBytes {
+			problem := reporter.Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is limited to 64 KiB"}
+			problem.Write(w, reporter.OutcomeNotRun)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Admin returns the handler for administration.
 func (s *Server) Admin(p *publisher.Publisher) http.Handler {
 	r := chi.NewRouter()
--- a/entry/server/server_test.go
+++ b/entry/server/server_test.go
@@ -78,6 +78,15 @@
 	assert.Equal(t, len(e.announced), 1)
 }
 
+func TestLargeHeaderIsRefusedWithAProblem(t *testing.T) {
+	r := httptest.NewRequest("GET", "/x", nil)
+	r.Header.Set("X-Large", strings.Repeat("x", MaxHeaderBytes))
+	w := httptest.NewRecorder()
+	New(&fakeEntry{}, "").Public(http.NotFoundHandler()).ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, w.Header().Get("Content-Type"), "application/problem+json")
+}
+
 func TestReadinessFailsWhileStoppingAndWithoutStanding(t *testing.T) {
 	e := &fakeEntry{ready: true}
 	s := New(e, "")
