--- a/control/server/server.go
+++ b/control/server/server.go
@@ -62,9 +62,6 @@
 
 func (s *Server) fromEntry(stream *driver.Stream, m *wire.FromEntry) {
 	s.clock.Observe(encoder.DecodeStamp(m.GetStamp()))
-	if m.GetAlive() != nil {
-		return
-	}
 	message, err := encoder.DecodeToControl(m)
 	if err != nil {
 		slog.Warn("message of an entry dropped", "error", err)
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -71,8 +71,8 @@
 
 // onReconfigured takes over settings and endpoints.
 func (b *Balancer) onReconfigured(now time.Time, v Reconfigured) {
-	b.queue = b.queue.WithLimit(v.Service.QueueLimit)
-	b.budget = b.budget.WithPercent(v.Service.RetryPercent)
+	b.queue.SetLimit(v.Service.QueueLimit)
+	b.budget.SetPercent(v.Service.RetryPercent)
 	b.entries = v.Entries
 	listed := make(map[string]bool, len(v.Endpoints))
 	for _, e := range v.Endpoints {
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -33,11 +33,8 @@
 // NewQueue returns a queue that takes up to limit calls of each class.
 func NewQueue(limit int) *Queue { return &Queue{limit: limit} }
 
-// WithLimit changes the number of calls of each class. Calls that wait stay.
-func (q *Queue) WithLimit(limit int) *Queue {
-	q.limit = limit
-	return q
-}
+// SetLimit changes the number of calls of each class. Calls that wait stay.
+func (q *Queue) SetLimit(limit int) { q.limit = limit }
 
 // Len returns the number of calls that wait.
 func (q *Queue) Len() int { return len(q.interactive) + len(q.bulk) }
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -39,11 +39,8 @@
 	return b
 }
 
-// WithPercent changes the share.
-func (b *Budget) WithPercent(percent int) *Budget {
-	b.percent = percent
-	return b
-}
+// SetPercent changes the share.
+func (b *Budget) SetPercent(percent int) { b.percent = percent }
 
 // First takes note of a first attempt.
 func (b *Budget) First(now time.Time) {
