Say each thing once: proposing a change, finding the leader

Cause: reading the whole change again. A change was encoded and proposed in two places, the leader was looked for in the measuring tool and again in the tests, and the page had a function that it never called. Change: one proposeChange for the first time and the next; Stage.Leader for both; the function is gone. Measured: no behaviour changes; the tests keep their assertions and pass.

--- a/bench/measure.go
+++ b/bench/measure.go
@@ -198,19 +198,6 @@
 	return nil
 }
 
-func (m *measurement) leader() *stager.Process {
-	for _, c := range m.stage.Controls {
-		var status struct {
-			Role          string `json:"role"`
-			HearsMajority bool   `json:"hears-majority"`
-		}
-		if stager.Get("http://"+c.Admin+"/comfreyplank/v1/status", &status) == nil && status.Role == "leader" && status.HearsMajority {
-			return c
-		}
-	}
-	return nil
-}
-
 // kills changes the configuration as the leader is killed, and measures how long
 // there is none.
 func (m *measurement) kills(n int) error {
@@ -219,7 +206,7 @@
 	}
 	var force, leaderless []time.Duration
 	for range n {
-		lead := m.leader()
+		lead := m.stage.Leader()
 		if lead == nil {
 			return errors.New("no leader")
 		}
@@ -229,7 +216,7 @@
 		}
 		var group sync.WaitGroup
 		group.Go(func() {
-			if stager.Until(patience, func() bool { return m.leader() != nil }) == nil {
+			if stager.Until(patience, func() bool { return m.stage.Leader() != nil }) == nil {
 				leaderless = append(leaderless, time.Since(start))
 			}
 		})
--- a/bench/stager/stager.go
+++ b/bench/stager/stager.go
@@ -236,6 +236,20 @@
 	return Get("http://"+p.Admin+"/comfreyplank/v1/status", &status) == nil && len(status.Endpoints) == endpoints
 }
 
+// Leader returns the replica that leads and hears a majority, or nil.
+func (s *Stage) Leader() *Process {
+	for _, c := range s.Controls {
+		var status struct {
+			Role          string `json:"role"`
+			HearsMajority bool   `json:"hears-majority"`
+		}
+		if Get("http://"+c.Admin+"/comfreyplank/v1/status", &status) == nil && status.Role == "leader" && status.HearsMajority {
+			return c
+		}
+	}
+	return nil
+}
+
 // Runs returns how often each key was run by all stand-ins.
 func (s *Stage) Runs() (map[string]int, error) {
 	runs := make(map[string]int)
--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -103,17 +103,8 @@
 	t.Helper()
 	var lead *Process
 	assert.NilError(t, Until(patience, func() bool {
-		for _, c := range s.Controls {
-			var status struct {
-				Role          string `json:"role"`
-				HearsMajority bool   `json:"hears-majority"`
-			}
-			if Get("http://"+c.Admin+"/comfreyplank/v1/status", &status) == nil && status.Role == "leader" && status.HearsMajority {
-				lead = c
-				return true
-			}
-		}
-		return false
+		lead = s.Leader()
+		return lead != nil
 	}))
 	return lead
 }
--- a/control/console/template.go
+++ b/control/console/template.go
@@ -15,7 +15,6 @@
 var source string
 
 var pages = template.Must(template.New("page").Funcs(template.FuncMap{
-	"problem":  problemAt,
 	"path":     fmt.Sprintf,
 	"join":     strings.Join,
 	"stopped":  stopped,
--- a/core/controller/configuration.go
+++ b/core/controller/configuration.go
@@ -52,7 +52,7 @@
 		c.do(AnswerApply{Request: v.Request, Problems: problems, Status: ApplyRefused})
 		return
 	}
-	if _, ok := c.committer.Answer(doc); !ok && !c.proposeChange(doc) {
+	if _, ok := c.committer.Answer(doc); !ok && (len(c.applies) >= maxPendingApplies || !c.proposeChange(doc)) {
 		c.do(AnswerApply{Request: v.Request, Status: ApplyNotTaken})
 		return
 	}
@@ -62,10 +62,8 @@
 	c.answerApplies(now)
 }
 
+// proposeChange sends a change to the leader, and reports whether there is one.
 func (c *Controller) proposeChange(doc validator.Document) bool {
-	if len(c.applies) >= maxPendingApplies {
-		return false
-	}
 	data, err := committer.Encode(committer.Change{Document: doc})
 	if err != nil {
 		return false
@@ -161,9 +159,7 @@
 		return p
 	}
 	p.proposeAt = now.Add(proposeWait)
-	if data, err := committer.Encode(committer.Change{Document: p.document}); err == nil {
-		_ = c.config.replica.Propose(data) // without a leader it is tried again later
-	}
+	c.proposeChange(p.document)
 	return p
 }
 
