--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core shell entry control ctl standin bench
+MODULES := core shell entry control ctl platform standin bench
 LINT_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
--- a/control/console/difference.go
+++ b/control/console/difference.go
@@ -60,16 +60,17 @@
 	number("retry-percent", old.RetryPercent, s.RetryPercent)
 	number("probe-ms-per-second", old.ProbeMsPerSecond, s.ProbeMsPerSecond)
 	number("probe-bytes-per-second", old.ProbeBytesPerSecond, s.ProbeBytesPerSecond)
+	number("connections", old.Connections, s.Connections)
 	if !slices.Equal(old.Admitted, s.Admitted) {
 		words = append(words, fmt.Sprintf("Service %s: %s may serve.", s.Name, admitted(s)))
 	}
 	for _, r := range s.Routes {
-		if !slices.Contains(old.Routes, r) {
+		if !slices.ContainsFunc(old.Routes, r.Equal) {
 			words = append(words, fmt.Sprintf("Service %s: route %s%s is new or changed.", s.Name, r.Host, r.PathPrefix))
 		}
 	}
 	for _, r := range old.Routes {
-		if !slices.ContainsFunc(s.Routes, func(t validator.Route) bool { return t.Host == r.Host && t.PathPrefix == r.PathPrefix }) {
+		if !slices.ContainsFunc(s.Routes, r.SamePlace) {
 			words = append(words, fmt.Sprintf("Service %s: route %s%s is removed.", s.Name, r.Host, r.PathPrefix))
 		}
 	}
--- a/control/console/draft.go
+++ b/control/console/draft.go
@@ -55,15 +55,14 @@
 func (e *editor) service(draft validator.Document) validator.Document {
 	name := e.text("name")
 	path := fmt.Sprintf("services[%d]", position(draft, name))
-	s := validator.Service{
-		Name:                name,
-		Admitted:            e.list("admitted"),
-		QueueLimit:          e.number("queue-limit", path+".queue-limit"),
-		RetryPercent:        e.number("retry-percent", path+".retry-percent"),
-		ProbeMsPerSecond:    e.number("probe-ms-per-second", path+".probe-ms-per-second"),
-		ProbeBytesPerSecond: e.number("probe-bytes-per-second", path+".probe-bytes-per-second"),
-		Routes:              e.routes(path),
-	}
+	s, _ := draft.Service(name) // what the form doesn't show stays
+	s.Name = name
+	s.Admitted = e.list("admitted")
+	s.QueueLimit = e.number("queue-limit", path+".queue-limit")
+	s.RetryPercent = e.number("retry-percent", path+".retry-percent")
+	s.ProbeMsPerSecond = e.number("probe-ms-per-second", path+".probe-ms-per-second")
+	s.ProbeBytesPerSecond = e.number("probe-bytes-per-second", path+".probe-bytes-per-second")
+	s.Routes = e.routes(path, s.Routes)
 	return draft.WithService(s)
 }
 
@@ -81,8 +80,19 @@
 	return strings.FieldsFunc(e.fields.Get(field), func(r rune) bool { return r == ',' || r == ' ' || r == '\n' || r == '\r' })
 }
 
+// former returns the route of a place as it was, for what the form doesn't show.
+func former(before []validator.Route, host, prefix string) validator.Route {
+	route := validator.Route{Host: host, PathPrefix: prefix}
+	for _, r := range before {
+		if r.SamePlace(route) {
+			return r
+		}
+	}
+	return route
+}
+
 // routes reads the rows of the routes; a row without a path is left out.
-func (e *editor) routes(path string) []validator.Route {
+func (e *editor) routes(path string, before []validator.Route) []validator.Route {
 	routes := []validator.Route{}
 	for row := range e.fields["route-path-prefix"] {
 		prefix := e.row("route-path-prefix", row)
@@ -93,13 +103,11 @@
 		if err != nil {
 			e.add(fmt.Sprintf("%s.routes[%d].deadline-ms", path, len(routes)), "must be a whole number")
 		}
-		routes = append(routes, validator.Route{
-			Host:       e.row("route-host", row),
-			PathPrefix: prefix,
-			Execution:  validator.Execution(e.row("route-execution", row)),
-			DeadlineMs: deadline,
-			Class:      validator.Class(e.row("route-class", row)),
-		})
+		route := former(before, e.row("route-host", row), prefix)
+		route.Execution = validator.Execution(e.row("route-execution", row))
+		route.DeadlineMs = deadline
+		route.Class = validator.Class(e.row("route-class", row))
+		routes = append(routes, route)
 	}
 	return routes
 }
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -16,6 +16,7 @@
 	"comfreyplank.org/core/controller"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/core/validator"
 )
@@ -44,6 +45,7 @@
 	lastStream  controller.Conn
 	applies     map[uint64]chan controller.AnswerApply
 	documents   map[uint64]chan controller.AnswerDocument
+	announces   map[uint64]chan controller.AnswerAnnounce
 	lastRequest uint64
 }
 
@@ -69,13 +71,18 @@
 type Option func(*options)
 
 type options struct {
-	peers   []replicator.Member
-	publish func(recorder.Event)
+	publish    func(recorder.Event)
+	controller []controller.Option
 }
 
 // WithPeers sets the replicas that form the system, this one included.
 func WithPeers(peers []replicator.Member) Option {
-	return func(o *options) { o.peers = peers }
+	return WithController(controller.WithPeers(peers))
+}
+
+// WithController sets up the machine of the replica.
+func WithController(opts ...controller.Option) Option {
+	return func(o *options) { o.controller = append(o.controller, opts...) }
 }
 
 // WithPublish sets where events go.
@@ -103,6 +110,7 @@
 		streams:   make(map[controller.Conn]*Stream),
 		applies:   make(map[uint64]chan controller.AnswerApply),
 		documents: make(map[uint64]chan controller.AnswerDocument),
+		announces: make(map[uint64]chan controller.AnswerAnnounce),
 	}
 	disk, id, err := d.open(folder)
 	if err != nil {
@@ -110,7 +118,7 @@
 		return nil, err
 	}
 	self := replicator.Member{ID: id, Name: name, Address: address}
-	d.machine, err = controller.New(time.Now(), self, disk, controller.WithPeers(o.peers))
+	d.machine, err = controller.New(time.Now(), self, disk, o.controller...)
 	if err != nil {
 		lock.Release()
 		return nil, err
@@ -199,6 +207,9 @@
 		case controller.AnswerDocument:
 			d.documents[v.Request] <- v
 			delete(d.documents, v.Request)
+		case controller.AnswerAnnounce:
+			d.announces[v.Request] <- v
+			delete(d.announces, v.Request)
 		case controller.Record:
 			d.publish(v.Event)
 		}
@@ -314,36 +325,46 @@
 	}
 }
 
-// Apply makes a change and waits for what becomes of it.
-func (d *Driver) Apply(ctx context.Context, document []byte) (controller.AnswerApply, error) {
-	answers := make(chan controller.AnswerApply, 1)
+// ask hands in a request under a new number, and waits for its answer.
+func ask[A any](ctx context.Context, d *Driver, waiting map[uint64]chan A, request func(number uint64) controller.Input) (A, error) {
+	answers := make(chan A, 1)
 	d.mu.Lock()
 	d.lastRequest++
-	d.applies[d.lastRequest] = answers
-	d.carryOut(d.machine.Handle(time.Now(), controller.Apply{Request: d.lastRequest, Document: document}))
+	waiting[d.lastRequest] = answers
+	d.carryOut(d.machine.Handle(time.Now(), request(d.lastRequest)))
 	d.mu.Unlock()
 	select {
 	case a := <-answers:
 		return a, nil
 	case <-ctx.Done():
-		return controller.AnswerApply{}, ctx.Err()
+		var none A
+		return none, ctx.Err()
 	}
 }
 
+// Apply makes a change and waits for what becomes of it. The request's number is set
+// here.
+func (d *Driver) Apply(ctx context.Context, change controller.Apply) (controller.AnswerApply, error) {
+	return ask(ctx, d, d.applies, func(number uint64) controller.Input {
+		change.Request = number
+		return change
+	})
+}
+
 // ReadDocument returns the configuration in force, confirmed by a majority.
 func (d *Driver) ReadDocument(ctx context.Context) (controller.AnswerDocument, error) {
-	answers := make(chan controller.AnswerDocument, 1)
-	d.mu.Lock()
-	d.lastRequest++
-	d.documents[d.lastRequest] = answers
-	d.carryOut(d.machine.Handle(time.Now(), controller.ReadDocument{Request: d.lastRequest}))
-	d.mu.Unlock()
-	select {
-	case a := <-answers:
-		return a, nil
-	case <-ctx.Done():
-		return controller.AnswerDocument{}, ctx.Err()
-	}
+	return ask(ctx, d, d.documents, func(number uint64) controller.Input {
+		return controller.ReadDocument{Request: number}
+	})
+}
+
+// Announce takes in what an endpoint said to this replica, and reports whether it
+// can't be forgotten.
+func (d *Driver) Announce(ctx context.Context, a registrar.Announcement) (bool, error) {
+	answer, err := ask(ctx, d, d.announces, func(number uint64) controller.Input {
+		return controller.Announce{Request: number, Announcement: a}
+	})
+	return answer.Taken, err
 }
 
 // HandOver gives leadership away before a planned stop.
--- a/control/main.go
+++ b/control/main.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"comfreyplank.org/control/runner"
 	"comfreyplank.org/shell/configurer"
 )
 
@@ -38,7 +39,7 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := serve(stop, settings); err != nil {
+	if err := runner.New(settings.runner()).Run(stop); err != nil {
 		slog.Error("control failed", "error", err)
 		return 1
 	}
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -86,7 +86,7 @@
 
 // Result is the answer to a change.
 type Result struct {
-	// Status is in-force, accepted, refused, unknown or not-taken.
+	// Status is in-force, accepted, superseded, refused, unknown or not-taken.
 	Status   string              `json:"status"`
 	Detail   string              `json:"detail"`
 	Answer   committer.Answer    `json:"answer,omitzero"`
@@ -131,7 +131,7 @@
 func (o *Operator) Apply(ctx context.Context, data []byte) (int, Result) {
 	ctx, cancel := context.WithTimeout(ctx, controller.ApplyTimeout+answerMargin)
 	defer cancel()
-	answer, err := o.driver.Apply(ctx, data)
+	answer, err := o.driver.Apply(ctx, controller.Apply{Document: data})
 	if err != nil {
 		answer.Status = controller.ApplyUnknown
 	}
@@ -145,6 +145,10 @@
 		result.Status = "in-force"
 		result.Detail = "accepted, and in force at every entry in standing"
 		return http.StatusOK, result
+	case controller.ApplySuperseded:
+		result.Status = "superseded"
+		result.Detail = "a document of the same or a higher generation is held; nothing was changed"
+		return http.StatusOK, result
 	case controller.ApplyNotInForce:
 		result.Status = "accepted"
 		result.Detail = "accepted for good; not yet known to be in force everywhere"
--- a/control/settings.go
+++ b/control/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"comfreyplank.org/control/runner"
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/shell/configurer"
@@ -58,6 +59,10 @@
 	}
 }
 
+func (s settings) runner() runner.Settings {
+	return runner.Settings{Name: s.Name, Listen: s.Listen, Admin: s.Admin, Data: s.Data, Peers: s.members(), OperatorKey: s.OperatorKey}
+}
+
 // members returns the peers as members of the groups.
 func (s settings) members() []replicator.Member {
 	members := make([]replicator.Member, 0, len(s.Peers))
--- a/core/balancer/action.go
+++ b/core/balancer/action.go
@@ -69,6 +69,8 @@
 	Call    CallID
 	Outcome Outcome
 	Reason  Reason
+	// RetryAfter is when the caller may come again, if it was not run.
+	RetryAfter time.Duration
 }
 
 // ClaimKey sends a command to the claims log. Only a claim is answered.
@@ -81,6 +83,8 @@
 type Probe struct {
 	Endpoint string
 	Address  string
+	// Path answers probes; empty for the protocol's own.
+	Path     string
 	Deadline time.Time
 }
 
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -53,8 +53,10 @@
 	Request   string
 	Execution router.Execution
 	Class     validator.Class
-	// Deadline is when the caller stops waiting.
+	// Deadline is when the caller stops waiting, or its route's time is over.
 	Deadline time.Time
+	// Attempts bounds the attempts; zero means retrier.MaxAttempts.
+	Attempts int
 	// Chained is set when the request is itself a retry of an entry higher up.
 	Chained bool
 	// Streamed is set when the request's body can be sent only once.
@@ -88,8 +90,10 @@
 	picker     *picker.Picker
 	queue      *limiter.Queue
 	budget     *retrier.Budget
-	prober     prober.Prober
-	retention  time.Duration
+	// outlives is set for an entry that serves on without standing.
+	outlives  bool
+	prober    prober.Prober
+	retention time.Duration
 
 	calls    map[CallID]*call
 	attempts map[AttemptID]*attempt
@@ -101,6 +105,7 @@
 	// quantile estimates the latency that most answers stay below.
 	quantile   quantile
 	entries    int
+	probePath  string
 	nextReview time.Time
 	// settled is set once endpoints are known; those that come later start cold.
 	settled bool
@@ -120,6 +125,13 @@
 // WithRetention sets how long once-only keys are kept.
 func WithRetention(d time.Duration) Option { return func(b *Balancer) { b.retention = d } }
 
+// WithOutliving lets an entry without standing go on giving work to the endpoints
+// that it knows. Endpoints must refuse requests that are meant for another one.
+func WithOutliving() Option { return func(b *Balancer) { b.outlives = true } }
+
+// WithBudget sets the bound of retries and hedges.
+func WithBudget(budget *retrier.Budget) Option { return func(b *Balancer) { b.budget = budget } }
+
 // New returns the balancer of a service. Entry is unique to the process and its
 // start, and makes attempts unique.
 func New(entry string, service validator.Service, opts ...Option) *Balancer {
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -40,7 +40,7 @@
 type call struct {
 	Call
 	phase phase
-	// live attempts are in flight; at most retrier.MaxAttempts were ever made.
+	// live attempts are in flight; at most most() were ever made.
 	live  []AttemptID
 	tried []*endpoint
 	made  int
@@ -67,6 +67,14 @@
 	answered bool
 }
 
+// most returns how many attempts may be made.
+func (c *call) most() int {
+	if c.Attempts == 0 {
+		return retrier.MaxAttempts
+	}
+	return c.Attempts
+}
+
 func (b *Balancer) onArrived(now time.Time, v Call) {
 	c := &call{Call: v}
 	b.calls[v.ID] = c
@@ -219,11 +227,11 @@
 }
 
 func (b *Balancer) mayHedge(c *call) bool {
-	return !c.Streamed && retrier.MayHedge(c.Execution, c.made, c.Chained)
+	return !c.Streamed && retrier.MayHedge(c.Execution, c.made, c.most(), c.Chained)
 }
 
 func mayRepeat(c *call, proof retrier.Proof) bool {
-	return !c.Streamed && retrier.MayRepeat(c.Execution, proof, c.made, c.Chained)
+	return !c.Streamed && retrier.MayRepeat(c.Execution, proof, c.made, c.most(), c.Chained)
 }
 
 // onHedgeDue sends a second attempt beside one that takes long. After an even
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -51,6 +51,10 @@
 	case EndingTimeout:
 		b.doubt(a)
 		b.failed(now, e)
+	case EndingMisdirected:
+		e.displaced = true
+		b.record(recorder.KindStopped, nil, e, "another endpoint has its address")
+		b.reviewOne(now, e.at, e)
 	case EndingCancelled:
 		e.trial = false
 		b.reviewOne(now, e.at, e)
@@ -58,7 +62,7 @@
 }
 
 func proofOf(ending Ending) retrier.Proof {
-	if ending == EndingNotSent || ending == EndingRefused {
+	if ending == EndingNotSent || ending == EndingRefused || ending == EndingMisdirected {
 		return retrier.ProofNotRun
 	}
 	return retrier.ProofNone
@@ -70,6 +74,8 @@
 		return ReasonFailed
 	case EndingRefused:
 		return ReasonShed
+	case EndingMisdirected:
+		return ReasonMisdirected
 	case EndingTimeout:
 		return ReasonTimeout
 	}
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -44,9 +44,12 @@
 	// ejectedUntil is when a trial may be made; zero when not ejected.
 	ejectedUntil time.Time
 	// trial is set while one request decides whether an ejected endpoint returns.
-	trial    bool
-	probing  bool
-	evidence time.Time
+	trial   bool
+	probing bool
+	// displaced is set once another endpoint has answered at the address, until the
+	// endpoint starts anew.
+	displaced bool
+	evidence  time.Time
 	// gone is set once the entry is told of the endpoint no more; it is removed
 	// when nothing is in flight.
 	gone bool
@@ -60,10 +63,10 @@
 
 // accepts reports whether new work may go there.
 func (b *Balancer) accepts(now time.Time, e *endpoint) bool {
-	if e.gone || e.Stopped || e.State != registrar.StateServing {
+	if e.gone || e.displaced || e.Stopped || e.State != registrar.StateServing {
 		return false
 	}
-	if b.inStanding(now) {
+	if b.outlives || b.inStanding(now) {
 		return true
 	}
 	return now.Sub(e.Direct) <= DirectLife
@@ -74,6 +77,7 @@
 	b.queue.SetLimit(v.Service.QueueLimit)
 	b.budget.SetPercent(v.Service.RetryPercent)
 	b.entries = v.Entries
+	b.probePath = v.Service.HealthPath
 	listed := make(map[string]bool, len(v.Endpoints))
 	for _, e := range v.Endpoints {
 		listed[e.Endpoint] = true
@@ -110,6 +114,7 @@
 		b.candidates[i].WarmFrom = now
 	}
 	if restarted {
+		e.displaced = false
 		e.provenAfter = now
 		e.failures = 0
 		e.ejectedUntil = time.Time{}
@@ -288,7 +293,7 @@
 	}
 	e := b.endpoints[oldest]
 	e.probing = true
-	b.do(Probe{Endpoint: e.name(), Address: e.Address, Deadline: now.Add(prober.Timeout)})
+	b.do(Probe{Endpoint: e.name(), Address: e.Address, Path: b.probePath, Deadline: now.Add(prober.Timeout)})
 }
 
 func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -23,8 +23,14 @@
 	Load int
 	// State is what the endpoint says of itself; empty when it says nothing.
 	State registrar.State
+	// Pace is how long work takes at the endpoint now, as a multiple of the usual
+	// time; zero when unknown.
+	Pace float64
 }
 
+// NoReport is the report of an answer that says nothing of the endpoint's load.
+var NoReport = Report{Load: -1}
+
 // AnswerBegan tells that an answer is there: whole if it is small, else its head.
 type AnswerBegan struct {
 	Attempt AttemptID
@@ -51,6 +57,9 @@
 	EndingTimeout
 	// EndingCancelled: the attempt was cancelled.
 	EndingCancelled
+	// EndingMisdirected: another endpoint has the address, and did not run the
+	// request.
+	EndingMisdirected
 )
 
 // AttemptEnded ends an attempt.
--- a/core/committer/committer.go
+++ b/core/committer/committer.go
@@ -6,9 +6,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 
+	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/validator"
 )
 
@@ -24,14 +26,38 @@
 	VerdictAccepted Verdict = "accepted"
 	VerdictConflict Verdict = "conflict"
 	VerdictReused   Verdict = "change-id-reused"
+	// VerdictSuperseded: a document of the same or a higher generation is held; this
+	// one changes nothing.
+	VerdictSuperseded Verdict = "superseded"
 )
 
-// Change is a command of the configuration log.
+// Command is an entry of the configuration log.
+type Command interface{ command() }
+
+// Change replaces the document.
 type Change struct {
 	// Document is complete and has passed the validator.
-	Document validator.Document `json:"document"`
+	Document validator.Document
+}
+
+// Departure keeps that an endpoint leaves, so that no replica can forget it.
+type Departure struct {
+	// Announcement says that the endpoint drains or is gone.
+	Announcement registrar.Announcement
 }
 
+func (Change) command()    {}
+func (Departure) command() {}
+
+// envelope is the form of a command in the log: one field is set.
+type envelope struct {
+	Document  *validator.Document     `json:"document,omitempty"`
+	Departure *registrar.Announcement `json:"departure,omitempty"`
+}
+
+// ErrEmptyCommand is returned for a log entry that holds no known command.
+var ErrEmptyCommand = errors.New("the log entry holds no command")
+
 // Answer is the lasting answer to a change.
 type Answer struct {
 	ChangeID string  `json:"change-id"`
@@ -52,6 +78,9 @@
 	// answers are in the order they were given.
 	answers []Answer
 	byID    map[string]Answer
+	// departures are the latest word of endpoints that leave, oldest first, one for
+	// each name.
+	departures []registrar.Announcement
 }
 
 // New returns the state before the first change: revision 0, no services.
@@ -65,38 +94,70 @@
 // Document returns the current document.
 func (c *Committer) Document() validator.Document { return c.document }
 
-// Encode returns the form of a change that the log holds.
-func Encode(change Change) ([]byte, error) {
-	data, err := json.Marshal(change)
-	return data, errors.Wrap(err, "encode change")
+// Encode returns the form of a command that the log holds.
+func Encode(c Command) ([]byte, error) {
+	var e envelope
+	switch v := c.(type) {
+	case Change:
+		e.Document = &v.Document
+	case Departure:
+		e.Departure = &v.Announcement
+	}
+	data, err := json.Marshal(e)
+	return data, errors.Wrap(err, "encode command")
+}
+
+// Decode reads a command of the log.
+func Decode(data []byte) (Command, error) {
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "decode command")
+	}
+	switch {
+	case e.Document != nil:
+		return Change{Document: *e.Document}, nil
+	case e.Departure != nil:
+		return Departure{Announcement: *e.Departure}, nil
+	}
+	return nil, ErrEmptyCommand
 }
 
-// Apply carries out a command of the log.
-func (c *Committer) Apply(data []byte) (Answer, error) {
-	var change Change
-	if err := json.Unmarshal(data, &change); err != nil {
-		return Answer{}, errors.Wrap(err, "decode change")
+// Apply carries out a change of the log.
+func (c *Committer) Apply(change Change) (Answer, error) {
+	doc := change.Document
+	if answer, known := c.Answer(doc); known {
+		return answer, nil
 	}
-	digest, err := Digest(change.Document)
+	digest, err := Digest(doc)
 	if err != nil {
 		return Answer{}, err
 	}
-	id := change.Document.ChangeID
-	if first, ok := c.byID[id]; ok {
-		return first.forRepeat(digest), nil
-	}
-	answer := Answer{ChangeID: id, Verdict: VerdictConflict, Revision: c.revision, Winner: c.document.ChangeID, Digest: digest}
-	if change.Document.BaseRevision == c.revision {
+	answer := Answer{ChangeID: doc.ChangeID, Verdict: VerdictConflict, Revision: c.revision, Winner: c.document.ChangeID, Digest: digest}
+	if c.follows(doc) {
 		c.revision++
-		c.document = change.Document
-		answer = Answer{ChangeID: id, Verdict: VerdictAccepted, Revision: c.revision, Digest: digest}
+		c.document = doc
+		answer = Answer{ChangeID: doc.ChangeID, Verdict: VerdictAccepted, Revision: c.revision, Digest: digest}
+	}
+	if doc.Generation == 0 {
+		c.remember(answer)
 	}
-	c.remember(answer)
 	return answer, nil
 }
 
-// Answer returns the answer that a change got before.
+// follows reports whether a document takes effect after the one that is held. Once
+// documents are ordered by generation, one without can't be.
+func (c *Committer) follows(doc validator.Document) bool {
+	if doc.Generation > 0 || c.document.Generation > 0 {
+		return doc.Generation > c.document.Generation
+	}
+	return doc.BaseRevision == c.revision
+}
+
+// Answer returns the answer that a change gets without being in the log again.
 func (c *Committer) Answer(doc validator.Document) (Answer, bool) {
+	if doc.Generation > 0 {
+		return c.generationAnswer(doc)
+	}
 	first, ok := c.byID[doc.ChangeID]
 	if !ok {
 		return Answer{}, false
@@ -108,6 +169,58 @@
 	return first.forRepeat(digest), true
 }
 
+func (c *Committer) generationAnswer(doc validator.Document) (Answer, bool) {
+	if doc.Generation > c.document.Generation {
+		return Answer{}, false
+	}
+	answer := Answer{ChangeID: doc.ChangeID, Verdict: VerdictSuperseded, Winner: c.document.ChangeID}
+	if doc.Generation == c.document.Generation {
+		answer.Revision = c.revision
+	}
+	return answer, true
+}
+
+// maxDepartures bounds the departures that are kept, oldest first out: several times
+// the endpoints of the largest size foreseen.
+const maxDepartures = 4_096
+
+// Depart keeps that an endpoint leaves.
+func (c *Committer) Depart(d Departure) {
+	if c.Departed(d.Announcement) {
+		return
+	}
+	c.departures = slices.DeleteFunc(c.departures, func(a registrar.Announcement) bool { return a.Name == d.Announcement.Name })
+	c.departures = append(c.departures, d.Announcement)
+	if len(c.departures) > maxDepartures {
+		c.departures = slices.Clone(c.departures[1:])
+	}
+}
+
+// Departures returns the latest word of each endpoint that leaves.
+func (c *Committer) Departures() []registrar.Announcement { return c.departures }
+
+// Amend returns an announcement in the light of the endpoint's departure, and false
+// when the departure has overtaken it.
+func (c *Committer) Amend(a registrar.Announcement) (registrar.Announcement, bool) {
+	for _, d := range c.departures {
+		if d.Name == a.Name {
+			return a.Amended(d)
+		}
+	}
+	return a, true
+}
+
+// Departed reports whether it is kept that an endpoint leaves in the way that the
+// announcement says, or has gone further.
+func (c *Committer) Departed(a registrar.Announcement) bool {
+	for _, d := range c.departures {
+		if d.Name == a.Name {
+			return d.Incarnation > a.Incarnation || (d.Incarnation == a.Incarnation && (d.Gone || !a.Gone))
+		}
+	}
+	return false
+}
+
 func (a Answer) forRepeat(digest string) Answer {
 	if a.Digest != digest {
 		a.Verdict = VerdictReused
@@ -136,14 +249,15 @@
 
 // image is the form of a snapshot.
 type image struct {
-	Revision uint64             `json:"revision"`
-	Document validator.Document `json:"document"`
-	Answers  []Answer           `json:"answers"`
+	Revision   uint64                   `json:"revision"`
+	Document   validator.Document       `json:"document"`
+	Answers    []Answer                 `json:"answers"`
+	Departures []registrar.Announcement `json:"departures,omitempty"`
 }
 
 // Snapshot returns the state for storage.
 func (c *Committer) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(image{c.revision, c.document, c.answers})
+	data, err := json.Marshal(image{c.revision, c.document, c.answers, c.departures})
 	return data, errors.Wrap(err, "encode configuration snapshot")
 }
 
@@ -161,6 +275,7 @@
 	c.revision = i.Revision
 	c.document = i.Document
 	c.answers = i.Answers
+	c.departures = i.Departures
 	for _, a := range i.Answers {
 		c.byID[a.ChangeID] = a
 	}
--- a/core/controller/configuration.go
+++ b/core/controller/configuration.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -27,6 +28,8 @@
 	request  uint64
 	document validator.Document
 	until    time.Time
+	// forceUntil is how long an accepted change waits to be in force.
+	forceUntil time.Time
 	// proposeAt is when the change is proposed again: it may have gone to a leader
 	// that is no more.
 	proposeAt time.Time
@@ -56,16 +59,29 @@
 		c.do(AnswerApply{Request: v.Request, Status: ApplyNotTaken})
 		return
 	}
-	c.applies = append(c.applies, pendingApply{
-		request: v.Request, document: doc, until: now.Add(ApplyTimeout), proposeAt: now.Add(proposeWait),
-	})
+	c.applies = append(c.applies, newPendingApply(now, v, doc))
 	c.answerApplies(now)
 }
 
+func newPendingApply(now time.Time, v Apply, doc validator.Document) pendingApply {
+	within := cmp.Or(v.Within, ApplyTimeout)
+	return pendingApply{
+		request: v.Request, document: doc,
+		until: now.Add(within), forceUntil: now.Add(cmp.Or(v.ForceWithin, within)), proposeAt: now.Add(proposeWait),
+	}
+}
+
 // proposeChange sends a change to the leader, and reports whether there is one.
 func (c *Controller) proposeChange(doc validator.Document) bool {
-	data, err := committer.Encode(committer.Change{Document: doc})
+	return c.propose(committer.Change{Document: doc})
+}
+
+// propose sends a command to the leader of the configuration log, and reports
+// whether there is one.
+func (c *Controller) propose(command committer.Command) bool {
+	data, err := committer.Encode(command)
 	if err != nil {
+		c.record(recorder.Event{Kind: recorder.KindJournalFailed, Detail: err.Error()})
 		return false
 	}
 	return c.config.replica.Propose(data) == nil
@@ -123,8 +139,22 @@
 }
 
 func (c *Controller) applyConfig(now time.Time, data []byte) {
+	command, err := committer.Decode(data)
+	if err != nil {
+		c.record(recorder.Event{Kind: recorder.KindJournalFailed, Detail: err.Error()})
+		return
+	}
+	switch v := command.(type) {
+	case committer.Change:
+		c.applyChange(now, v)
+	case committer.Departure:
+		c.applyDeparture(now, v)
+	}
+}
+
+func (c *Controller) applyChange(now time.Time, change committer.Change) {
 	before := c.committer.Revision()
-	answer, err := c.committer.Apply(data)
+	answer, err := c.committer.Apply(change)
 	if err != nil {
 		c.record(recorder.Event{Kind: recorder.KindJournalFailed, Detail: err.Error()})
 		return
@@ -168,11 +198,15 @@
 	answer, known := c.committer.Answer(p.document)
 	late := !now.Before(p.until)
 	switch {
+	case known && answer.Verdict == committer.VerdictSuperseded && c.inForce < answer.Revision && now.Before(p.forceUntil):
+		return 0, answer
+	case known && answer.Verdict == committer.VerdictSuperseded:
+		return ApplySuperseded, answer
 	case known && answer.Verdict != committer.VerdictAccepted:
 		return ApplyRefused, answer
 	case known && c.inForce >= answer.Revision:
 		return ApplyInForce, answer
-	case known && late:
+	case known && !now.Before(p.forceUntil):
 		return ApplyNotInForce, answer
 	case late:
 		return ApplyUnknown, answer
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -80,6 +80,18 @@
 	// Request is returned in the AnswerApply.
 	Request  uint64
 	Document []byte
+	// Within is how long the answer may take; zero means ApplyTimeout.
+	Within time.Duration
+	// ForceWithin is how long an accepted change waits to be in force before the
+	// answer says that it is accepted only; zero means Within.
+	ForceWithin time.Duration
+}
+
+// Announce is what an endpoint said to this replica.
+type Announce struct {
+	// Request is returned in the AnswerAnnounce.
+	Request      uint64
+	Announcement registrar.Announcement
 }
 
 // ReadDocument asks for the configuration in force, confirmed by a majority.
@@ -96,6 +108,7 @@
 func (EntryLost) input()    {}
 func (Persisted) input()    {}
 func (Apply) input()        {}
+func (Announce) input()     {}
 func (ReadDocument) input() {}
 func (HandOver) input()     {}
 
@@ -152,11 +165,20 @@
 	Confirmed bool
 }
 
+// AnswerAnnounce answers an Announce.
+type AnswerAnnounce struct {
+	Request uint64
+	// Taken is set when the announcement can't be forgotten: a majority knows that
+	// the endpoint leaves, or hears from it again soon.
+	Taken bool
+}
+
 // Record adds an event to the time line.
 type Record struct {
 	Event recorder.Event
 }
 
+func (AnswerAnnounce) action() {}
 func (SendPeer) action()       {}
 func (SendEntry) action()      {}
 func (Persist) action()        {}
@@ -179,6 +201,9 @@
 	ApplyNotInForce
 	// ApplyUnknown: it may yet be accepted. Send it again with the same identity.
 	ApplyUnknown
+	// ApplySuperseded: a document of the same or a higher generation is held, and
+	// this one changes nothing.
+	ApplySuperseded
 	// ApplyNotTaken: this replica hears no leader and has proposed nothing.
 	ApplyNotTaken
 )
@@ -186,8 +211,12 @@
 // Controller is the machine of one control replica. It is not safe for
 // concurrent use.
 type Controller struct {
-	self    replicator.Member
-	peers   []replicator.Member
+	self  replicator.Member
+	peers []replicator.Member
+	// joins is set for a replica that may not found the system.
+	joins bool
+	// size is how many voters the system has; zero keeps all that ever joined.
+	size    int
 	run     uint64
 	rand    *rand.Rand
 	started time.Time
@@ -205,6 +234,7 @@
 	presence map[string]*peer
 
 	applies      []pendingApply
+	departures   []pendingDeparture
 	reads        []pendingRead
 	nextRead     uint64
 	claimWaiters map[claimID]claimWaiter
@@ -241,6 +271,23 @@
 	return func(c *Controller) { c.rand = source }
 }
 
+// WithRegistry sets how endpoints are kept.
+func WithRegistry(r *registrar.Registry) Option {
+	return func(c *Controller) { c.registry = r }
+}
+
+// WithoutFounding keeps a replica with an empty disk from founding the system: it
+// joins the one that exists.
+func WithoutFounding() Option {
+	return func(c *Controller) { c.joins = true }
+}
+
+// WithSize sets how many voters the system has. A replica at another place takes
+// over from one that has been silent for long, once there are more.
+func WithSize(voters int) Option {
+	return func(c *Controller) { c.size = voters }
+}
+
 // WithClaims sets the bounds of the claims. All replicas must agree on them.
 func WithClaims(opts ...claimer.Option) Option {
 	return func(c *Controller) { c.claimOpts = opts }
@@ -280,6 +327,7 @@
 	if err := c.load(now, disk); err != nil {
 		return nil, err
 	}
+	c.relist(now)
 	return c, nil
 }
 
@@ -318,6 +366,11 @@
 	return err
 }
 
+// relist announces the departures of a restored state.
+func (c *Controller) relist(now time.Time) {
+	c.takeIn(now, c.committer.Departures())
+}
+
 // Handle reacts to one input. The actions are valid until the next call.
 func (c *Controller) Handle(now time.Time, in Input) []Action {
 	c.actions = c.actions[:0]
@@ -334,6 +387,8 @@
 		c.onPersisted(now, v)
 	case Apply:
 		c.onApply(now, v)
+	case Announce:
+		c.onAnnounce(now, v)
 	case ReadDocument:
 		c.startRead(now, pendingRead{request: v.Request})
 	case HandOver:
@@ -356,6 +411,7 @@
 	c.askShares(now)
 	c.updateInForce(now)
 	c.answerApplies(now)
+	c.answerDepartures(now)
 }
 
 func (c *Controller) handOver(now time.Time) {
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -123,6 +123,7 @@
 	}
 	g.applied = s.Index
 	if g.id == messenger.GroupConfig {
+		c.relist(now)
 		c.pushConfig(now)
 	}
 }
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -54,8 +54,10 @@
 }
 
 func (c *Controller) mayFound() bool {
+	self := len(c.peers) == 0
 	for _, p := range c.peers {
 		if p.Name == c.self.Name {
+			self = true
 			continue
 		}
 		if p.Name < c.self.Name {
@@ -66,7 +68,7 @@
 			return false
 		}
 	}
-	return true
+	return self && !c.joins
 }
 
 func (c *Controller) sayPresence(now time.Time) {
@@ -152,6 +154,33 @@
 			c.admit(now, c.group(id), p)
 		}
 	}
+	for _, id := range messenger.Groups {
+		c.dismiss(now, c.group(id))
+	}
+}
+
+// departedAfter is how long a voter must have been silent before another place takes
+// over from it: longer than a restart, a freeze or a cut lasts as a rule.
+const departedAfter = 3 * time.Second
+
+// dismiss takes the vote from the member that has been silent for longest, where
+// there are more voters than there should be.
+func (c *Controller) dismiss(now time.Time, g *group) {
+	members := g.replica.Members()
+	if c.size == 0 || g.replica.Role() != replicator.RoleLeader || members.Voters() <= c.size {
+		return
+	}
+	var silent replicator.Member
+	oldest := now.Add(-departedAfter)
+	for _, m := range members {
+		if _, heard := g.replica.Report(m.ID); m.ID != c.self.ID && m.Voter && heard.Before(oldest) {
+			silent = m
+			oldest = heard
+		}
+	}
+	if silent.ID != "" {
+		c.change(now, g, members.Without(silent.ID))
+	}
 }
 
 // admit takes a replica into a group, one step at a time: the former disk of the
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -24,6 +24,10 @@
 func (c *Controller) takeIn(now time.Time, list []registrar.Announcement) []registrar.Announcement {
 	var changed []registrar.Announcement
 	for _, a := range list {
+		a, ok := c.committer.Amend(a)
+		if !ok {
+			continue
+		}
 		switch c.registry.Announce(now, a) {
 		case registrar.OutcomeChanged:
 			changed = append(changed, a)
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -64,11 +64,13 @@
 	}
 	e.confirmed = true
 	c.sendConfig(conn)
-	c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Full: true, Changed: c.registry.List("")}})
+	// Goodbyes are listed too: the entry may know endpoints that left meanwhile.
+	c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Full: true, Changed: c.registry.All("")}})
+	c.do(SendEntry{Conn: conn, Message: c.replicas()})
 }
 
 func (c *Controller) sendConfig(conn Conn) {
-	c.do(SendEntry{Conn: conn, Message: messenger.Configured{Revision: c.committer.Revision(), Document: c.committer.Document()}})
+	c.do(SendEntry{Conn: conn, Message: messenger.Configured{Revision: c.committer.Revision(), Document: c.committer.Document().WithoutSource()}})
 }
 
 // pushConfig sends the configuration to every entry that follows this replica.
@@ -168,6 +170,16 @@
 	}
 }
 
+// replicas tells entries where they may go.
+func (c *Controller) replicas() messenger.Replicas {
+	members := c.config.replica.Members()
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	return messenger.Replicas{Addresses: addresses}
+}
+
 // noteMembers remembers when a replica left: its entries keep their standing for
 // a while.
 func (c *Controller) noteMembers(now time.Time) {
@@ -181,5 +193,10 @@
 		}
 	}
 	c.memberIDs = members
+	for _, conn := range c.connections() {
+		if c.entries[conn].confirmed {
+			c.do(SendEntry{Conn: conn, Message: c.replicas()})
+		}
+	}
 	c.record(recorder.Event{Kind: recorder.KindMembership, Detail: describe(members)})
 }
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -107,6 +107,13 @@
 	Result  claimer.Result
 }
 
+// Replicas names the addresses of all replicas, so that an entry can follow another
+// one.
+type Replicas struct {
+	Addresses []string
+}
+
+func (Replicas) toEntry()   {}
 func (Configured) toEntry() {}
 func (BeatAnswer) toEntry() {}
 func (Endpoints) toEntry()  {}
--- a/core/registrar/check.go
+++ b/core/registrar/check.go
@@ -15,6 +15,16 @@
 
 // Check returns every problem of an announcement.
 func (a Announcement) Check() []validator.Problem {
+	return a.check(1)
+}
+
+// CheckUnlimited returns every problem of an announcement that leaves it to the
+// document how many connections the endpoint accepts.
+func (a Announcement) CheckUnlimited() []validator.Problem {
+	return a.check(0)
+}
+
+func (a Announcement) check(leastConnections int) []validator.Problem {
 	var problems []validator.Problem
 	add := func(path, detail string) {
 		problems = append(problems, validator.Problem{Path: path, Detail: detail})
@@ -32,7 +42,7 @@
 		add("data-centre", "must be a name")
 	}
 	inRange(add, "slots", a.Slots, 1, maxSlots)
-	inRange(add, "connections", a.Connections, 1, maxConnections)
+	inRange(add, "connections", a.Connections, leastConnections, maxConnections)
 	inRange(add, "load", a.Load, 0, maxLoad)
 	switch a.State {
 	case StateStarting, StateServing, StateDraining:
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -54,6 +54,25 @@
 	Load int `json:"load"`
 	// Gone marks a goodbye.
 	Gone bool `json:"gone,omitempty"`
+	// WarmUp is how much longer the endpoint is slow after its start.
+	WarmUp time.Duration `json:"warm-up,omitempty"`
+}
+
+// Leaving reports whether the endpoint is to get no more new work.
+func (a Announcement) Leaving() bool { return a.Gone || a.State == StateDraining }
+
+// Amended returns the announcement in the light of what is kept of the endpoint's
+// departure, which can't be taken back within an incarnation. It reports false for
+// an announcement that the departure has overtaken.
+func (a Announcement) Amended(departure Announcement) (Announcement, bool) {
+	switch {
+	case a.Name != departure.Name || a.Incarnation > departure.Incarnation:
+		return a, true
+	case a.Incarnation < departure.Incarnation || (departure.Gone && !a.Gone):
+		return a, false
+	}
+	a.State = StateDraining
+	return a, true
 }
 
 // Newer reports whether a was made after b.
@@ -64,9 +83,11 @@
 	return a.Sequence > b.Sequence
 }
 
-// same reports whether a differs from b in nothing but its sequence and load.
+// same reports whether a differs from b in nothing but its sequence, its load and
+// the rest of its warm-up.
 func (a Announcement) same(b Announcement) bool {
 	a.Sequence = b.Sequence
+	a.WarmUp = b.WarmUp
 	a.Load = b.Load
 	return a == b
 }
@@ -96,10 +117,32 @@
 // so that a late announcement can't bring the endpoint back.
 type Registry struct {
 	records map[Name]record
+	lease   time.Duration
+	// owners is set where an address belongs to the latest incarnation that
+	// announces it; incarnations are then comparable between endpoints.
+	owners map[string]Name
+}
+
+// Option sets up a registry.
+type Option func(*Registry)
+
+// WithLease sets how long an announcement holds.
+func WithLease(d time.Duration) Option { return func(r *Registry) { r.lease = d } }
+
+// WithAddressOwners lets an address belong to the latest incarnation that announces
+// it. Incarnations must be times, so that those of two endpoints can be compared.
+func WithAddressOwners() Option {
+	return func(r *Registry) { r.owners = make(map[string]Name) }
 }
 
 // New returns an empty registry.
-func New() *Registry { return &Registry{records: make(map[Name]record)} }
+func New(opts ...Option) *Registry {
+	r := &Registry{records: make(map[Name]record), lease: Lease}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
 
 // Len returns the number of endpoints, gone ones included.
 func (r *Registry) Len() int { return len(r.records) }
@@ -112,17 +155,43 @@
 		return OutcomeStale
 	case !known && len(r.records) >= MaxEndpoints:
 		return OutcomeFull
+	case !r.own(a):
+		return OutcomeStale
 	}
-	r.records[a.Name] = record{announcement: a, expires: now.Add(Lease)}
+	r.records[a.Name] = record{announcement: a, expires: now.Add(r.lease)}
 	if known && a.same(old.announcement) {
 		return OutcomeRenewed
 	}
 	return OutcomeChanged
 }
 
+// own gives the address to the endpoint, unless a later incarnation has it. A former
+// owner counts as gone.
+func (r *Registry) own(a Announcement) bool {
+	if r.owners == nil || a.Gone {
+		return true
+	}
+	owner, ok := r.records[r.owners[a.Address]]
+	former := owner.announcement
+	if ok && former.Name != a.Name && former.Address == a.Address {
+		if former.Incarnation > a.Incarnation {
+			return false
+		}
+		former.Gone = true
+		r.records[former.Name] = record{announcement: former, expires: owner.expires}
+	}
+	r.owners[a.Address] = a.Name
+	return true
+}
+
 // Remove forgets an endpoint.
 func (r *Registry) Remove(name Name) { delete(r.records, name) }
 
+// Named returns what is known of the endpoints of a name, whatever their service.
+func (r *Registry) Named(endpoint string) []Announcement {
+	return slices.DeleteFunc(r.All(""), func(a Announcement) bool { return a.Endpoint != endpoint })
+}
+
 // Find returns what is known of an endpoint.
 func (r *Registry) Find(name Name) (Announcement, bool) {
 	rec, ok := r.records[name]
@@ -137,6 +206,9 @@
 			continue
 		}
 		delete(r.records, name)
+		if r.owners != nil && r.owners[rec.announcement.Address] == name {
+			delete(r.owners, rec.announcement.Address)
+		}
 		expired = append(expired, rec.announcement)
 	}
 	slices.SortFunc(expired, compare)
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -8,12 +8,16 @@
 	"comfreyplank.org/core/router"
 )
 
-// MaxAttempts bounds the attempts of one call at one entry, hedges included.
+// MaxAttempts bounds the attempts of one call at one entry, hedges included, where its
+// route states no other bound.
 const MaxAttempts = 3
 
 // reserveTokens lets a service with little traffic retry a few times.
 const reserveTokens = 3
 
+// DefaultBurst is how many retries may be saved up.
+const DefaultBurst = 50
+
 // refillEvery gives back one token of the reserve.
 const refillEvery = 10 * time.Second
 
@@ -21,20 +25,28 @@
 type Budget struct {
 	percent int
 	// tokens is in hundredths of an attempt; 0 <= tokens <= capacity.
-	tokens   int
+	tokens int
+	// capacity is the most that may be saved up, in hundredths of an attempt.
+	capacity int
 	refillAt time.Time
 }
 
-const (
-	tokenUnit = 100
-	capacity  = 50 * tokenUnit
-)
+const tokenUnit = 100
+
+// Option sets up a budget.
+type Option func(*Budget)
+
+// WithBurst sets how many retries may be saved up.
+func WithBurst(n int) Option { return func(b *Budget) { b.capacity = n * tokenUnit } }
 
 // NewBudget returns a budget that allows percent retries for 100 first attempts.
-func NewBudget(percent int) *Budget {
-	b := &Budget{percent: percent}
+func NewBudget(percent int, opts ...Option) *Budget {
+	b := &Budget{percent: percent, capacity: DefaultBurst * tokenUnit}
+	for _, opt := range opts {
+		opt(b)
+	}
 	if percent > 0 {
-		b.tokens = reserveTokens * tokenUnit
+		b.tokens = min(reserveTokens*tokenUnit, b.capacity)
 	}
 	return b
 }
@@ -44,7 +56,7 @@
 
 // First takes note of a first attempt.
 func (b *Budget) First(now time.Time) {
-	b.tokens = min(capacity, b.tokens+b.percent)
+	b.tokens = min(b.capacity, b.tokens+b.percent)
 	if b.percent > 0 && b.tokens < tokenUnit && !now.Before(b.refillAt) {
 		b.tokens += tokenUnit
 		b.refillAt = now.Add(refillEvery)
@@ -71,10 +83,11 @@
 	ProofNone
 )
 
-// MayRepeat reports whether a failed attempt may be followed by another. Chained
-// calls are retries of a caller higher up, and are not multiplied.
-func MayRepeat(e router.Execution, p Proof, attempts int, chained bool) bool {
-	if attempts >= MaxAttempts {
+// MayRepeat reports whether a failed attempt may be followed by another, when at most
+// so many may be made. Chained calls are retries of a caller higher up, and are not
+// multiplied.
+func MayRepeat(e router.Execution, p Proof, attempts, most int, chained bool) bool {
+	if attempts >= most {
 		return false
 	}
 	if p == ProofNotRun {
@@ -84,6 +97,6 @@
 }
 
 // MayHedge reports whether a second attempt may run beside the first.
-func MayHedge(e router.Execution, attempts int, chained bool) bool {
-	return e == router.Repeatable && attempts < MaxAttempts && !chained
+func MayHedge(e router.Execution, attempts, most int, chained bool) bool {
+	return e == router.Repeatable && attempts < most && !chained
 }
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -12,10 +12,29 @@
 
 // Match is the route that a request takes.
 type Match struct {
+	// Service is the one that holds the route; Pick gives the one that a request
+	// goes to.
 	Service string
 	Route   validator.Route
 }
 
+// Pick returns the service of one request. Draw is a random number, at least 0
+// and below 1.
+func (m Match) Pick(draw float64) string {
+	sum := 0
+	for _, p := range m.Route.Split {
+		sum += p.Weight
+	}
+	left := draw * float64(sum)
+	for _, p := range m.Route.Split {
+		left -= float64(p.Weight)
+		if left < 0 {
+			return p.Service
+		}
+	}
+	return m.Service
+}
+
 // Router finds the route of a request. It is immutable.
 type Router struct {
 	// routes are ordered from the most to the least specific.
@@ -62,6 +81,8 @@
 		return Repeatable
 	case validator.ExecutionOnceOnly:
 		return onceOnlyFor(method)
+	case validator.ExecutionAtMostOnce:
+		return SingleAttempt
 	}
 	if idempotent(method) {
 		return Repeatable
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -62,6 +62,11 @@
 	Command claimer.Command
 }
 
+// Reseeded tells where replicas were when the settings were last written.
+type Reseeded struct {
+	Addresses []string
+}
+
 // Tick lets time pass, with the work in flight at endpoints that leave.
 type Tick struct {
 	Leaving []messenger.Leaving
@@ -72,6 +77,7 @@
 func (Said) input()      {}
 func (Announced) input() {}
 func (Command) input()   {}
+func (Reseeded) input()  {}
 func (Tick) input()      {}
 
 // Action is what the caller must carry out.
@@ -143,7 +149,12 @@
 // Subscriber is the machine of an entry towards the control replicas. It is not
 // safe for concurrent use.
 type Subscriber struct {
-	hello    messenger.Hello
+	hello messenger.Hello
+	// seeds are the replicas of the settings, and told those that a replica named.
+	seeds     []string
+	told      []string
+	discovers bool
+	// replicas are those that may be followed, each once.
 	replicas []string
 	rand     *rand.Rand
 
@@ -170,8 +181,11 @@
 
 	// relayed is what replicas said of endpoints, direct what they said themselves.
 	relayed map[registrar.Name]registrar.Announcement
-	direct  *registrar.Registry
-	heard   map[registrar.Name]time.Time
+	// unlisted are relayed endpoints that the present replica did not list, with the
+	// time at which they are forgotten: it may have started just now.
+	unlisted map[registrar.Name]time.Time
+	direct   *registrar.Registry
+	heard    map[registrar.Name]time.Time
 	// stopAt is when the next scheduled stop comes.
 	stopAt time.Time
 
@@ -193,12 +207,17 @@
 // WithRand sets the source of randomness.
 func WithRand(source *rand.Rand) Option { return func(s *Subscriber) { s.rand = source } }
 
+// WithDiscovery lets the entry follow replicas that control names besides those of its
+// settings.
+func WithDiscovery() Option { return func(s *Subscriber) { s.discovers = true } }
+
 // New returns the subscriber of an entry that follows one of the replicas.
 func New(hello messenger.Hello, replicas []string, opts ...Option) *Subscriber {
 	s := &Subscriber{
 		hello:    hello,
-		replicas: slices.Clone(replicas),
+		seeds:    slices.Clone(replicas),
 		relayed:  make(map[registrar.Name]registrar.Announcement),
+		unlisted: make(map[registrar.Name]time.Time),
 		direct:   registrar.New(),
 		heard:    make(map[registrar.Name]time.Time),
 		commands: make(map[uint64]*command),
@@ -209,6 +228,7 @@
 	if s.rand == nil {
 		s.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	s.joinReplicas()
 	s.next = s.rand.IntN(max(1, len(replicas)))
 	return s
 }
@@ -228,6 +248,9 @@
 		s.onAnnounced(now, v.Announcement)
 	case Command:
 		s.onCommand(now, v)
+	case Reseeded:
+		s.seeds = slices.Clone(v.Addresses)
+		s.joinReplicas()
 	case Tick:
 		s.leaving = v.Leaving
 		s.tick(now)
@@ -271,6 +294,7 @@
 	if expired := s.direct.Expire(now); len(expired) > 0 {
 		s.forget(expired)
 	}
+	s.dropUnlisted(now)
 	if !s.stopAt.IsZero() && !now.Before(s.stopAt) {
 		s.updateAll(now)
 	}
@@ -336,6 +360,25 @@
 		s.onEndpoints(now, v)
 	case messenger.Claimed:
 		s.onClaimed(v)
+	case messenger.Replicas:
+		s.onReplicas(v.Addresses)
+	}
+}
+
+// onReplicas takes up where replicas are now. The present stream stays.
+func (s *Subscriber) onReplicas(addresses []string) {
+	if s.discovers && len(addresses) > 0 {
+		s.told = slices.Clone(addresses)
+		s.joinReplicas()
+	}
+}
+
+func (s *Subscriber) joinReplicas() {
+	s.replicas = slices.Clone(s.told)
+	for _, address := range s.seeds {
+		if !slices.Contains(s.replicas, address) {
+			s.replicas = append(s.replicas, address)
+		}
 	}
 }
 
@@ -402,15 +445,17 @@
 
 func (s *Subscriber) onEndpoints(now time.Time, v messenger.Endpoints) {
 	if v.Full {
-		clear(s.relayed)
+		s.startList(now)
 	}
 	services := make(map[string]bool)
 	for _, a := range v.Changed {
 		s.relayed[a.Name] = a
+		delete(s.unlisted, a.Name)
 		services[a.Service] = true
 	}
 	for _, name := range v.Removed {
 		delete(s.relayed, name)
+		delete(s.unlisted, name)
 		services[name.Service] = true
 	}
 	if v.Full {
@@ -422,6 +467,28 @@
 	}
 }
 
+// startList begins a new list of endpoints. Those of the former one stay for a lease
+// unless they are listed again: the replica may have started just now, and hear of
+// them with their next announcement.
+func (s *Subscriber) startList(now time.Time) {
+	for name := range s.relayed {
+		if _, ok := s.unlisted[name]; !ok {
+			s.unlisted[name] = now.Add(registrar.Lease)
+		}
+	}
+}
+
+func (s *Subscriber) dropUnlisted(now time.Time) {
+	for name, until := range s.unlisted {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.unlisted, name)
+		delete(s.relayed, name)
+		s.update(now, name.Service)
+	}
+}
+
 func (s *Subscriber) forget(expired []registrar.Announcement) {
 	for _, a := range expired {
 		delete(s.heard, a.Name)
@@ -468,14 +535,17 @@
 	var list []balancer.Endpoint
 	for _, a := range known {
 		if !a.Gone && service.Admits(a.Endpoint) {
-			list = append(list, s.endpoint(now, a))
+			list = append(list, s.endpoint(now, service, a))
 		}
 	}
 	slices.SortFunc(list, func(a, b balancer.Endpoint) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return list
 }
 
-func (s *Subscriber) endpoint(now time.Time, a registrar.Announcement) balancer.Endpoint {
+func (s *Subscriber) endpoint(now time.Time, service validator.Service, a registrar.Announcement) balancer.Endpoint {
+	if service.Connections > 0 {
+		a.Connections = service.Connections
+	}
 	return balancer.Endpoint{
 		Announcement: a,
 		Stopped:      s.document.Stopped(a.Service, a.Endpoint, now),
--- a/core/validator/document.go
+++ b/core/validator/document.go
@@ -3,7 +3,10 @@
 // whole.
 package validator
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Execution says how often a request on a route may be run.
 type Execution string
@@ -14,6 +17,9 @@
 	ExecutionByMethod   Execution = ""
 	ExecutionRepeatable Execution = "repeatable"
 	ExecutionOnceOnly   Execution = "once-only"
+	// ExecutionAtMostOnce requests are tried again only on proof that they were not
+	// run; a request that the caller repeats is a new one.
+	ExecutionAtMostOnce Execution = "at-most-once"
 )
 
 // Class says which queue a request waits in.
@@ -31,6 +37,11 @@
 	BaseRevision uint64 `json:"base-revision"`
 	// ChangeID identifies the change; sent again, it gets the first answer.
 	ChangeID string `json:"change-id"`
+	// Generation is the author's own order of documents. Where it is not zero, the
+	// highest generation takes effect and BaseRevision is not looked at.
+	Generation uint64 `json:"generation,omitempty"`
+	// Source is the form in which the author wrote the document, to be read back.
+	Source string `json:"source,omitempty"`
 	// Entries is the largest number of entries that run at once. Each may open an
 	// equal part of an endpoint's connections.
 	Entries int `json:"entries"`
@@ -38,6 +49,20 @@
 	Services []Service `json:"services"`
 	// Stops name endpoints that leave or have left.
 	Stops []Stop `json:"stops,omitempty"`
+	// Limits bound what callers may send.
+	Limits Limits `json:"limits,omitzero"`
+}
+
+// Limits bound what a caller may send, and how long it may take. Zero leaves the
+// entry's own bound.
+type Limits struct {
+	MaxHeaderBytes int `json:"max-header-bytes,omitempty"`
+	MaxBodyBytes   int `json:"max-body-bytes,omitempty"`
+	// HeaderTimeoutMs is how long a request's header may take, in milliseconds.
+	HeaderTimeoutMs int `json:"header-timeout-ms,omitempty"`
+	// IdleTimeoutMs is how long a connection may be without a request, in
+	// milliseconds.
+	IdleTimeoutMs int `json:"idle-timeout-ms,omitempty"`
 }
 
 // Service is a set of interchangeable endpoints and the routes that lead to it.
@@ -58,10 +83,17 @@
 	// ProbeBytesPerSecond is the traffic that all entries together may spend on
 	// probes, in bytes each second.
 	ProbeBytesPerSecond int `json:"probe-bytes-per-second"`
+	// Connections is how many connections each endpoint accepts from all entries
+	// together, for endpoints that don't announce it.
+	Connections int `json:"connections,omitempty"`
+	// HealthPath is the path that answers probes; empty means the default one.
+	HealthPath string `json:"health-path,omitempty"`
 }
 
 // Route leads requests to a service.
 type Route struct {
+	// Name identifies the route in logs.
+	Name string `json:"name,omitempty"`
 	// Host matches the request's host without port; empty matches every host.
 	Host string `json:"host,omitempty"`
 	// PathPrefix matches whole path segments.
@@ -70,6 +102,32 @@
 	// DeadlineMs bounds the whole call, in milliseconds.
 	DeadlineMs int   `json:"deadline-ms"`
 	Class      Class `json:"class"`
+	// TargetMs is the time within which an answer has its full worth, in
+	// milliseconds; zero when none is stated.
+	TargetMs int `json:"target-ms,omitempty"`
+	// Attempts bounds the endpoints that one request is sent to; zero leaves the
+	// entry's own bound.
+	Attempts int `json:"attempts,omitempty"`
+	// Priority orders calls that wait; 0 goes first.
+	Priority int `json:"priority,omitempty"`
+	// Split divides the requests among services by weight. Without it, all go to
+	// the service that holds the route.
+	Split []Part `json:"split,omitempty"`
+}
+
+// Equal reports whether two routes are the same in every field.
+func (r Route) Equal(other Route) bool { return reflect.DeepEqual(r, other) }
+
+// SamePlace reports whether two routes match the same requests.
+func (r Route) SamePlace(other Route) bool {
+	return r.Host == other.Host && r.PathPrefix == other.PathPrefix
+}
+
+// Part is a service's part of the requests of a route.
+type Part struct {
+	Service string `json:"service"`
+	// Weight is the part, against the sum of the route's weights.
+	Weight int `json:"weight"`
 }
 
 // Stop takes one endpoint out of service at a time.
@@ -87,6 +145,12 @@
 	return d
 }
 
+// WithoutSource returns the document without the author's form, as entries get it.
+func (d Document) WithoutSource() Document {
+	d.Source = ""
+	return d
+}
+
 // WithStop returns the document with a stop added; a stop for the same endpoint
 // is replaced.
 func (d Document) WithStop(s Stop) Document {
--- a/core/validator/reference.go
+++ b/core/validator/reference.go
@@ -25,21 +25,26 @@
 		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", f.Name, f.Kind, byDefault, f.allowed(), f.Doc)
 	}
 	for _, f := range fields {
-		if f.Kind == KindObjects {
+		switch f.Kind {
+		case KindObjects:
 			section(b, "Each of `"+f.Name+"`", f.Fields)
+		case KindObject:
+			section(b, "`"+f.Name+"`", f.Fields)
 		}
 	}
 }
 
 // String returns the kind's name.
 func (k Kind) String() string {
-	return [...]string{"", "whole number", "string", "time", "list of objects", "list of strings"}[k]
+	return [...]string{"", "whole number", "string", "time", "list of objects", "list of strings", "object"}[k]
 }
 
 func (f Field) allowed() string {
 	switch {
 	case len(f.Choices) > 0:
 		return strings.Join(f.Choices, ", ")
+	case f.Kind == KindObject:
+		return "the keys below"
 	case f.Kind == KindInteger:
 		return fmt.Sprintf("%d to %d", f.Min, f.Max)
 	case f.Kind == KindObjects || f.Kind == KindStrings:
--- a/core/validator/validator.go
+++ b/core/validator/validator.go
@@ -119,6 +119,8 @@
 		c.list(path, value, f, func(p string, v any) { c.object(p, v, f.Fields) })
 	case KindStrings:
 		c.list(path, value, f, func(p string, v any) { c.text(p, v, f.element()) })
+	case KindObject:
+		c.object(path, value, f.Fields)
 	}
 }
 
@@ -234,11 +236,26 @@
 		}
 		names[s.Name] = i
 		for j, r := range s.Routes {
-			c.route(fmt.Sprintf("%s.routes[%d]", path, j), r, routes)
+			routePath := fmt.Sprintf("%s.routes[%d]", path, j)
+			c.route(routePath, r, routes)
+			c.split(routePath+".split", doc, r.Split)
 		}
 	}
 }
 
+func (c *checker) split(path string, doc Document, parts []Part) {
+	sum := 0
+	for i, p := range parts {
+		if _, ok := doc.Service(p.Service); !ok {
+			c.add(fmt.Sprintf("%s[%d].service", path, i), "names no service of this document")
+		}
+		sum += p.Weight
+	}
+	if len(parts) > 0 && sum == 0 {
+		c.add(path, "must have a weight above 0")
+	}
+}
+
 func (c *checker) route(path string, r Route, seen map[routeKey]string) {
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		c.add(path+".path-prefix", "must start with a slash")
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,7 +9,7 @@
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/entry/forwarder"
-	"comfreyplank.org/shell/reporter"
+	"comfreyplank.org/entry/translator"
 )
 
 const replayedHeader = "Comfreyplank-Replayed"
@@ -17,7 +18,7 @@
 func (l *lane) write(w http.ResponseWriter, r *http.Request, v verdict, id string) {
 	switch {
 	case v.refuse != nil:
-		writeRefusal(w, *v.refuse, id)
+		l.writeRefusal(w, *v.refuse, id)
 	case v.replay != nil:
 		writeStored(w, *v.replay, id)
 	case v.answer != nil:
@@ -43,22 +44,18 @@
 	return http.StatusServiceUnavailable
 }
 
-func writeRefusal(w http.ResponseWriter, r balancer.Refuse, id string) {
-	status := statusOf(r)
-	outcome := reporter.OutcomeNotRun
-	if r.Outcome == balancer.OutcomeUnknown {
-		outcome = reporter.OutcomeUnknown
-	}
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.Itoa(int(balancer.RetryAfter.Seconds())))
+func (l *lane) writeRefusal(w http.ResponseWriter, r balancer.Refuse, id string) {
+	refusal := translator.Refusal{Status: statusOf(r), Outcome: r.Outcome, Detail: string(r.Reason), Request: id}
+	if refusal.Status == http.StatusServiceUnavailable {
+		refusal.RetryAfter = cmp.Or(r.RetryAfter, balancer.RetryAfter)
 	}
-	reporter.Problem{Status: status, Detail: string(r.Reason), Request: id}.Write(w, outcome)
+	l.around.Callers.Refuse(w, refusal)
 }
 
 func writeStored(w http.ResponseWriter, a claimer.Answer, id string) {
 	h := w.Header()
 	h.Set(replayedHeader, "true")
-	h.Set(forwarder.RequestHeader, id)
+	h.Set(translator.RequestHeader, id)
 	if a.ContentType != "" {
 		h.Set("Content-Type", a.ContentType)
 	}
@@ -77,9 +74,7 @@
 		clear(w.Header())
 	}
 	copyHeader(w.Header(), withoutHops(response.Header))
-	w.Header().Del(forwarder.LoadHeader)
-	w.Header().Del(reporter.OutcomeHeader)
-	w.Header().Set(forwarder.RequestHeader, id)
+	l.around.Callers.Answer(w.Header(), id)
 	if _, ok := response.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil // keeps the server from guessing
 	}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -6,10 +6,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
-	"net"
+	"math/rand/v2"
 	"net/http"
-	"strconv"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,7 +24,7 @@
 	"comfreyplank.org/core/router"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
-	"comfreyplank.org/shell/reporter"
+	"comfreyplank.org/entry/translator"
 )
 
 // Bounds of a request's body.
@@ -40,17 +41,23 @@
 type Dispatcher struct {
 	instance string
 	around   Surroundings
-	router   atomic.Pointer[router.Router]
+	active   atomic.Pointer[active]
 
 	mu    sync.RWMutex
 	lanes map[string]*lane
 	until time.Time
 }
 
+// active is what holds for requests that come now.
+type active struct {
+	router router.Router
+	limits validator.Limits
+}
+
 // New returns a dispatcher that knows no services. Instance is unique to this
 // start of the process.
 func New(instance string, around Surroundings) *Dispatcher {
-	return &Dispatcher{instance: instance, around: around, lanes: make(map[string]*lane)}
+	return &Dispatcher{instance: instance, around: around.withDefaults(), lanes: make(map[string]*lane)}
 }
 
 // Configure takes up a document.
@@ -65,7 +72,7 @@
 		}
 	}
 	d.mu.Unlock()
-	d.router.Store(&r)
+	d.active.Store(&active{router: r, limits: doc.Limits})
 }
 
 // Handle hands an input to the balancer of a service.
@@ -156,49 +163,79 @@
 
 // ServeHTTP answers a caller's request.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(forwarder.RequestHeader)
-	if id == "" || !validator.ValidName(id) {
-		id = uuid.NewString()
+	said, err := d.around.Callers.Read(r.Header)
+	if said.ID == "" {
+		said.ID = uuid.NewString()
+	}
+	if err != nil {
+		d.refuse(w, said.ID, http.StatusBadRequest, err.Error())
+		return
 	}
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
-		refuse(w, id, http.StatusNotImplemented, "connections can't be handed over")
+		d.refuse(w, said.ID, http.StatusNotImplemented, "connections can't be handed over")
 		return
 	}
-	rt := d.router.Load()
-	if rt == nil {
-		w.Header().Set("Retry-After", "1")
-		refuse(w, id, http.StatusServiceUnavailable, "this instance has no configuration yet")
+	now := d.active.Load()
+	if now == nil {
+		d.around.Callers.Refuse(w, translator.Refusal{
+			Status: http.StatusServiceUnavailable, Outcome: balancer.OutcomeNotRun,
+			Detail: "this instance has no configuration yet", Request: said.ID, RetryAfter: balancer.RetryAfter,
+		})
 		return
 	}
-	match, ok := rt.Match(r.Host, r.URL.Path)
+	match, ok := now.router.Match(r.Host, r.URL.Path)
 	if !ok {
-		refuse(w, id, http.StatusNotFound, "no route leads there")
+		d.refuse(w, said.ID, http.StatusNotFound, "no route leads there")
+		return
+	}
+	if status, detail := exceeds(r, now.limits); status != 0 {
+		d.refuse(w, said.ID, status, detail)
 		return
 	}
-	d.serve(w, r, match, id)
+	d.serve(w, r, match, said)
+}
+
+// exceeds returns the status for a request that is larger than callers may send,
+// or zero.
+func exceeds(r *http.Request, limits validator.Limits) (status int, detail string) {
+	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
+		return http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header is limited to %d bytes", limits.MaxHeaderBytes)
+	}
+	if limits.MaxBodyBytes > 0 && r.ContentLength > int64(limits.MaxBodyBytes) {
+		return http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is limited to %d bytes", limits.MaxBodyBytes)
+	}
+	return 0, ""
+}
+
+func headerBytes(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
 }
 
-func refuse(w http.ResponseWriter, id string, status int, detail string) {
-	reporter.Problem{Status: status, Detail: detail, Request: id}.Write(w, reporter.OutcomeNotRun)
+func (d *Dispatcher) refuse(w http.ResponseWriter, id string, status int, detail string) {
+	d.around.Callers.Refuse(w, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail, Request: id})
 }
 
-func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, id string) {
-	l := d.lane(match.Service)
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, said translator.Request) {
+	service := match.Pick(rand.Float64())
+	l := d.lane(service)
 	call := balancer.Call{
-		Request:   id,
+		Request:   said.ID,
 		Execution: match.Execution(r.Method),
 		Class:     match.Route.Class,
-		Chained:   chained(r),
+		Chained:   said.Chained,
+		Deadline:  d.deadline(said, match),
+		Attempts:  match.Route.Attempts,
 	}
-	deadline, err := d.deadline(r, match)
-	if err != nil {
-		refuse(w, id, http.StatusBadRequest, err.Error())
-		return
-	}
-	call.Deadline = deadline
-	request, problem := incoming(r, &call, id)
+	request, problem := d.receive(w, r, &call)
 	if problem != nil {
-		problem.Write(w, reporter.OutcomeNotRun)
+		problem.Request = said.ID
+		d.around.Callers.Refuse(w, *problem)
 		return
 	}
 	waits := &waiting{request: request, verdicts: make(chan verdict, 1)}
@@ -206,7 +243,7 @@
 	defer l.forget(call.ID)
 	select {
 	case v := <-waits.verdicts:
-		l.write(w, r, v, id)
+		l.write(w, r, v, said.ID)
 	case <-r.Context().Done():
 		l.handle(balancer.CallerGone{Call: call.ID})
 		l.discard(waits)
@@ -230,38 +267,42 @@
 	}
 }
 
-// chained reports whether the request is a retry of an entry higher up.
-func chained(r *http.Request) bool {
-	n, err := strconv.Atoi(r.Header.Get(forwarder.AttemptHeader))
-	return err == nil && n > 1
-}
-
 // deadline returns when the caller stops waiting: the time remaining that it
 // states, within the route's bound.
-func (d *Dispatcher) deadline(r *http.Request, match router.Match) (time.Time, error) {
+func (d *Dispatcher) deadline(said translator.Request, match router.Match) time.Time {
 	remaining := time.Duration(match.Route.DeadlineMs) * time.Millisecond
-	if text := r.Header.Get(forwarder.TimeoutHeader); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms < 0 {
-			return time.Time{}, errors.Errorf("%s must be a whole number of milliseconds", forwarder.TimeoutHeader)
-		}
-		remaining = min(remaining, time.Duration(min(ms, validator.MaxDeadlineMs))*time.Millisecond)
+	if said.Patience >= 0 {
+		remaining = min(remaining, said.Patience)
 	}
-	return d.around.Now().Add(remaining), nil
+	return d.around.Now().Add(remaining)
+}
+
+// receive reads a request whose body has to be there by its deadline too.
+func (d *Dispatcher) receive(w http.ResponseWriter, r *http.Request, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
+	if r.Body == http.NoBody {
+		return d.incoming(r, call)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(call.Deadline)                  // a writer without deadlines waits
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }() // as above
+	if most := d.active.Load().limits.MaxBodyBytes; most > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, int64(most))
+	}
+	return d.incoming(r, call)
 }
 
 // incoming reads what the attempts will send. A body too large to be kept can be
 // sent only once.
-func incoming(r *http.Request, call *balancer.Call, id string) (forwarder.Request, *reporter.Problem) {
+func (d *Dispatcher) incoming(r *http.Request, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
 	limit := keptBytes
 	if call.Execution == router.OnceOnly {
 		limit = onceBytes
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if err != nil {
-		return forwarder.Request{}, &reporter.Problem{Status: http.StatusBadRequest, Detail: "the body could not be read", Request: id}
+		return forwarder.Request{}, unreadable(err)
 	}
-	request := forwarder.Request{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: onward(r, id), Body: body, ContentLength: int64(len(body))}
+	request := forwarder.Request{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: d.onward(r, call.Request), Body: body, ContentLength: int64(len(body))}
 	if len(body) <= limit {
 		call.Key = r.Header.Get(keyHeader)
 		if call.Execution == router.OnceOnly {
@@ -270,7 +311,7 @@
 		return request, nil
 	}
 	if call.Execution == router.OnceOnly {
-		return forwarder.Request{}, &reporter.Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body of a once-only request is limited to 1 MiB", Request: id}
+		return forwarder.Request{}, notRun(http.StatusRequestEntityTooLarge, "the body of a once-only request is limited to 1 MiB")
 	}
 	call.Streamed = true
 	request.Stream = r.Body
@@ -278,6 +319,22 @@
 	return request, nil
 }
 
+func notRun(status int, detail string) *translator.Refusal {
+	return &translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail}
+}
+
+// unreadable tells a body that came too slowly from one that is wrong.
+func unreadable(err error) *translator.Refusal {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return notRun(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is limited to %d bytes", large.Limit))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return notRun(http.StatusRequestTimeout, "the body did not come in time")
+	}
+	return notRun(http.StatusBadRequest, "the body could not be read")
+}
+
 // fingerprint tells one request from another under the same key. The caller's
 // credentials are part of it, so nobody gets an answer to someone else's request.
 func fingerprint(r *http.Request, body []byte) string {
@@ -305,7 +362,7 @@
 }
 
 // onward returns the headers that go to the endpoint.
-func onward(r *http.Request, id string) http.Header {
+func (d *Dispatcher) onward(r *http.Request, id string) http.Header {
 	h := withoutHops(r.Header.Clone())
 	if strings.Contains(strings.ToLower(r.Header.Get("Te")), "trailers") {
 		h.Set("Te", "trailers")
@@ -313,9 +370,6 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps the transport from adding its own
 	}
-	if ip, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		h["X-Forwarded-For"] = []string{strings.Join(append(r.Header.Values("X-Forwarded-For"), ip), ", ")}
-	}
-	h.Set(forwarder.RequestHeader, id)
+	d.around.Callers.Onward(h, r, id)
 	return h
 }
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -11,6 +11,7 @@
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
+	"comfreyplank.org/entry/translator"
 )
 
 // Surroundings are what a lane needs of the rest of the entry.
@@ -24,6 +25,25 @@
 	Claim func(service string, call balancer.CallID, command claimer.Command)
 	// Count takes note of what became of a call or an attempt.
 	Count Counter
+	// Callers and Endpoints are the protocols; the product's own where not set.
+	Callers   translator.Callers
+	Endpoints translator.Endpoints
+	// Balance sets up the balancer of each service.
+	Balance func() []balancer.Option
+}
+
+// withDefaults fills in what is not set.
+func (s Surroundings) withDefaults() Surroundings {
+	if s.Callers.Read == nil {
+		s.Callers = translator.NativeCallers()
+	}
+	if s.Endpoints.Judge == nil {
+		s.Endpoints = translator.NativeEndpoints()
+	}
+	if s.Balance == nil {
+		s.Balance = func() []balancer.Option { return nil }
+	}
+	return s
 }
 
 // Counter counts what happens in a lane.
@@ -78,8 +98,8 @@
 	return &lane{
 		service:   service.Name,
 		around:    around,
-		forwarder: forwarder.New(around.Now),
-		machine:   balancer.New(instance, service),
+		forwarder: forwarder.New(around.Now, around.Endpoints),
+		machine:   balancer.New(instance, service, around.Balance()...),
 		calls:     make(map[balancer.CallID]*waiting),
 		attempts:  make(map[balancer.AttemptID]*attempt),
 		addresses: make(map[string]string),
@@ -172,7 +192,7 @@
 	}
 	l.handle(balancer.AnswerBegan{Attempt: t.id, Status: answer.Response.StatusCode, Report: answer.Report, Stored: storedOf(answer)})
 	if answer.Whole {
-		l.end(t, balancer.EndingComplete, balancer.Report{Load: -1})
+		l.end(t, balancer.EndingComplete, balancer.NoReport)
 		return
 	}
 	l.awaitBody(ctx, t)
@@ -188,7 +208,7 @@
 	case <-ctx.Done():
 	}
 	l.forwarder.Finish(t.answer, ending == balancer.EndingComplete)
-	l.end(t, ending, balancer.Report{Load: -1})
+	l.end(t, ending, balancer.NoReport)
 }
 
 func (l *lane) end(t *attempt, ending balancer.Ending, report balancer.Report) {
@@ -200,7 +220,7 @@
 
 func reportOf(a *forwarder.Answer) balancer.Report {
 	if a == nil {
-		return balancer.Report{Load: -1}
+		return balancer.NoReport
 	}
 	return a.Report
 }
@@ -223,7 +243,7 @@
 		ctx, cancel := context.WithDeadline(context.Background(), v.Deadline)
 		defer cancel()
 		start := l.around.Now()
-		report, ok := l.forwarder.Probe(ctx, v.Address)
+		report, ok := l.forwarder.Probe(ctx, v)
 		took := l.around.Now().Sub(start)
 		l.around.Count.Probe(l.service, took)
 		l.handle(balancer.ProbeEnded{Endpoint: v.Endpoint, OK: ok, Took: took, Report: report})
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -37,6 +37,10 @@
 	ctx        context.Context //nolint:containedctx // the life of the process, for streams opened later
 	group      *sync.WaitGroup
 
+	// outlives is set for an entry that serves without standing.
+	outlives  bool
+	discovers bool
+
 	mu      sync.Mutex
 	machine *subscriber.Subscriber
 	// stream is the present one; messages of any other are ignored.
@@ -57,6 +61,12 @@
 	return func(f *Follower) { f.publish = publish }
 }
 
+// WithOutliving makes an entry ready as soon as it has a configuration.
+func WithOutliving() Option { return func(f *Follower) { f.outlives = true } }
+
+// WithDiscovery lets the entry follow replicas that control names.
+func WithDiscovery() Option { return func(f *Follower) { f.discovers = true } }
+
 // Clock orders events over all processes by the stamps on their messages.
 type Clock interface {
 	Stamp() recorder.Stamp
@@ -72,7 +82,6 @@
 		dispatcher: d,
 		ctx:        ctx,
 		group:      group,
-		machine:    subscriber.New(hello, replicas),
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
@@ -81,6 +90,11 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	var set []subscriber.Option
+	if f.discovers {
+		set = append(set, subscriber.WithDiscovery())
+	}
+	f.machine = subscriber.New(hello, replicas, set...)
 	return f
 }
 
@@ -103,17 +117,23 @@
 	f.handle(subscriber.Announced{Announcement: a})
 }
 
+// SetReplicas tells where control replicas are now.
+func (f *Follower) SetReplicas(addresses []string) {
+	f.handle(subscriber.Reseeded{Addresses: addresses})
+}
+
 // Claim sends a command to the claims log.
 func (f *Follower) Claim(service string, call balancer.CallID, command claimer.Command) {
 	f.handle(subscriber.Command{Service: service, Call: call, Command: command})
 }
 
-// Ready reports whether the entry has a configuration and is in standing.
+// Ready reports whether the entry has a configuration and, where it needs that, is in
+// standing.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, configured := f.machine.Revision()
-	return configured && f.machine.Standing(f.now())
+	return configured && (f.outlives || f.machine.Standing(f.now()))
 }
 
 // Knows reports whether a service may exist.
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -5,29 +5,17 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/core/balancer"
-	"comfreyplank.org/core/registrar"
-	"comfreyplank.org/shell/reporter"
-)
-
-// Headers between the system, callers and endpoints.
-const (
-	TimeoutHeader = "Comfreyplank-Timeout-Ms"
-	AttemptHeader = "Comfreyplank-Attempt"
-	RequestHeader = "Comfreyplank-Request-Id"
-	LoadHeader    = "Endpoint-Load-Metrics"
-	// ProbePath answers a probe with a LoadHeader.
-	ProbePath = "/comfreyplank/v1/probe"
+	"comfreyplank.org/entry/translator"
 )
 
 // WholeBytes is the largest answer that is read to its end before its first byte
@@ -73,7 +61,8 @@
 
 // Forwarder holds the pools of one service.
 type Forwarder struct {
-	now func() time.Time
+	now      func() time.Time
+	protocol translator.Endpoints
 
 	// group holds the goroutines that send long bodies.
 	group sync.WaitGroup
@@ -82,8 +71,8 @@
 }
 
 // New returns a forwarder without connections.
-func New(now func() time.Time) *Forwarder {
-	return &Forwarder{now: now, pools: make(map[string]*pool)}
+func New(now func() time.Time, protocol translator.Endpoints) *Forwarder {
+	return &Forwarder{now: now, protocol: protocol, pools: make(map[string]*pool)}
 }
 
 func (f *Forwarder) pool(address string) *pool {
@@ -133,7 +122,7 @@
 		before := c.written.Load()
 		answer, err := f.exchange(ctx, p, c, d, r)
 		if err == nil {
-			return f.judge(answer)
+			return f.judge(answer.Response.Request.Header, answer)
 		}
 		sent := c.written.Load() != before
 		p.discard(c)
@@ -157,19 +146,19 @@
 	return balancer.EndingLost
 }
 
-// judge takes an explicit refusal for what it is.
-func (f *Forwarder) judge(a *Answer) (*Answer, balancer.Ending) {
-	refused := a.Response.StatusCode == http.StatusServiceUnavailable &&
-		a.Response.Header.Get(reporter.OutcomeHeader) == reporter.OutcomeNotRun
-	if !refused {
-		return a, balancer.EndingComplete
+// judge takes a refusal, or the answer to another request, for what it is.
+func (f *Forwarder) judge(sent http.Header, a *Answer) (*Answer, balancer.Ending) {
+	ending := f.protocol.Judge(sent, a.Response)
+	if ending == balancer.EndingComplete {
+		return a, ending
 	}
-	f.Finish(a, a.Whole)
-	return a, balancer.EndingRefused
+	// What follows the answer to another request on the connection can't be trusted.
+	f.Finish(a, a.Whole && ending == balancer.EndingRefused)
+	return a, ending
 }
 
 func (f *Forwarder) exchange(ctx context.Context, p *pool, c *connection, d balancer.Dispatch, r Request) (*Answer, error) {
-	request, err := r.outgoing(ctx, d, f.now())
+	request, err := f.outgoing(ctx, d, r)
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +175,7 @@
 		return nil, err
 	}
 	answer := &Answer{
-		Response: response, Informational: informational, Report: ParseLoad(response.Header.Get(LoadHeader)),
+		Response: response, Informational: informational, Report: f.protocol.Report(response.Header),
 		pool: p, connection: c, release: release,
 	}
 	answer.Prefix, answer.Whole, err = readAhead(response.Body, response.ContentLength)
@@ -220,7 +209,7 @@
 }
 
 // outgoing returns the request as one attempt sends it.
-func (r Request) outgoing(ctx context.Context, d balancer.Dispatch, now time.Time) (*http.Request, error) {
+func (f *Forwarder) outgoing(ctx context.Context, d balancer.Dispatch, r Request) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+d.Address+r.URI, r.body())
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
@@ -228,8 +217,8 @@
 	request.Host = r.Host
 	request.ContentLength = r.ContentLength
 	request.Header = r.Header.Clone()
-	request.Header.Set(TimeoutHeader, strconv.FormatInt(max(1, d.Deadline.Sub(now).Milliseconds()), 10))
-	request.Header.Set(AttemptHeader, strconv.Itoa(d.Number))
+	left := max(time.Millisecond, d.Deadline.Sub(f.now()))
+	f.protocol.Prepare(request.Header, translator.Attempt{Endpoint: d.Endpoint, Number: d.Number, Left: left})
 	return request, nil
 }
 
@@ -244,48 +233,22 @@
 }
 
 // Probe asks an endpoint for its load.
-func (f *Forwarder) Probe(ctx context.Context, address string) (balancer.Report, bool) {
-	p := f.pool(address)
+func (f *Forwarder) Probe(ctx context.Context, v balancer.Probe) (balancer.Report, bool) {
+	p := f.pool(v.Address)
 	c, _, err := p.get(ctx, balancer.Connection{MaxQuiet: balancer.AnyQuiet, MaxOpen: 1})
 	if err != nil {
-		return balancer.Report{Load: -1}, false
+		return balancer.NoReport, false
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ProbePath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Address+cmp.Or(v.Path, translator.ProbePath), nil)
 	if err != nil {
 		p.discard(c)
-		return balancer.Report{Load: -1}, false
+		return balancer.NoReport, false
 	}
 	answer, err := f.converse(ctx, p, c, request, false)
 	if err != nil {
 		p.discard(c)
-		return balancer.Report{Load: -1}, false
+		return balancer.NoReport, false
 	}
 	f.Finish(answer, answer.Whole)
-	return answer.Report, answer.Response.StatusCode < http.StatusInternalServerError
-}
-
-// ParseLoad reads a load header such as "load=3, state=serving". What is missing
-// or wrong is unknown.
-func ParseLoad(value string) balancer.Report {
-	report := balancer.Report{Load: -1}
-	for part := range strings.SplitSeq(value, ",") {
-		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
-		switch name {
-		case "load":
-			if n, err := strconv.Atoi(text); err == nil && n >= 0 {
-				report.Load = n
-			}
-		case "state":
-			report.State = stateOf(text)
-		}
-	}
-	return report
-}
-
-func stateOf(text string) registrar.State {
-	switch s := registrar.State(text); s {
-	case registrar.StateStarting, registrar.StateServing, registrar.StateDraining:
-		return s
-	}
-	return ""
+	return answer.Report, f.protocol.Probed(v.Endpoint, answer.Response)
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"comfreyplank.org/entry/runner"
 	"comfreyplank.org/shell/configurer"
 )
 
@@ -30,7 +31,7 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := newInstance(settings).run(stop); err != nil {
+	if err := runner.New(settings.runner()).Run(stop); err != nil {
 		slog.Error("entry failed", "error", err)
 		return 1
 	}
--- /dev/null
+++ b/entry/runner/runner.go
@@ -0,0 +1,221 @@
+// Package runner runs one entry: its servers, its stream to control, and its
+// planned stop.
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/drainer"
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/entry/counter"
+	"comfreyplank.org/entry/dispatcher"
+	"comfreyplank.org/entry/follower"
+	"comfreyplank.org/entry/server"
+	"comfreyplank.org/shell/publisher"
+)
+
+// Limits of the servers.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes is far above what the handler accepts.
+	maxHeaderBytes = 8 * server.MaxHeaderBytes
+	drainInterval  = 20 * time.Millisecond
+)
+
+// Settings are what an entry is told at its start.
+type Settings struct {
+	// Name is unique in the system.
+	Name       string
+	DataCentre string
+	// Listen is the address for callers, and Admin the one for administration.
+	Listen string
+	Admin  string
+	// Control are the addresses of control replicas.
+	Control []string
+	// AnnounceKey must come with announcements; empty asks for none.
+	AnnounceKey string
+	// Notice is how long the entry serves on after a stop signal, and Grace how long
+	// it then waits for requests in flight.
+	Notice time.Duration
+	Grace  time.Duration
+}
+
+// Option sets up an entry.
+type Option func(*Runner)
+
+// WithSurroundings changes the protocols and the balancers of the entry.
+func WithSurroundings(change func(*dispatcher.Surroundings)) Option {
+	return func(r *Runner) { r.change = change }
+}
+
+// WithPublic replaces the handler for callers.
+func WithPublic(public func(s *server.Server, calls http.Handler) http.Handler) Option {
+	return func(r *Runner) { r.public = public }
+}
+
+// WithListener serves another address as well.
+func WithListener(address string, handler func(s *server.Server) http.Handler) Option {
+	return func(r *Runner) { r.listeners = append(r.listeners, listener{address, handler}) }
+}
+
+// WithFollower sets up how the entry follows control.
+func WithFollower(opts ...follower.Option) Option {
+	return func(r *Runner) { r.follow = append(r.follow, opts...) }
+}
+
+// listener is an address that is served besides the usual ones.
+type listener struct {
+	address string
+	handler func(s *server.Server) http.Handler
+}
+
+// Runner is a running entry.
+type Runner struct {
+	settings   Settings
+	change     func(*dispatcher.Surroundings)
+	public     func(s *server.Server, calls http.Handler) http.Handler
+	listeners  []listener
+	follow     []follower.Option
+	publisher  *publisher.Publisher
+	dispatcher *dispatcher.Dispatcher
+	follower   *follower.Follower
+	server     *server.Server
+	group      sync.WaitGroup
+	ctx        context.Context //nolint:containedctx // the life of the instance
+	cancel     context.CancelFunc
+}
+
+// New returns an entry that is not running yet.
+func New(s Settings, opts ...Option) *Runner {
+	i := &Runner{
+		settings:  s,
+		change:    func(*dispatcher.Surroundings) {},
+		public:    func(s *server.Server, calls http.Handler) http.Handler { return s.Public(calls) },
+		publisher: publisher.New(s.Name, publisher.DefaultCapacity),
+	}
+	for _, opt := range opts {
+		opt(i)
+	}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	around := dispatcher.Surroundings{
+		Now:     time.Now,
+		Start:   i.group.Go,
+		Publish: i.publish,
+		Claim:   i.claim,
+		Count:   counter.New(prometheus.DefaultRegisterer),
+	}
+	i.change(&around)
+	i.dispatcher = dispatcher.New(s.Name+"/"+uuid.NewString(), around)
+	hello := messenger.Hello{Entry: s.Name, DataCentre: s.DataCentre, Admin: s.Admin}
+	follow := append([]follower.Option{follower.WithPublish(i.publish)}, i.follow...)
+	i.follower = follower.New(i.ctx, &i.group, hello, s.Control, i.dispatcher, i.publisher, follow...)
+	i.server = server.New(i.follower, s.AnnounceKey)
+	return i
+}
+
+// SetControl tells where control replicas are now.
+func (i *Runner) SetControl(addresses []string) { i.follower.SetReplicas(addresses) }
+
+func (i *Runner) publish(e recorder.Event) { i.publisher.Publish(time.Now(), e) }
+
+func (i *Runner) claim(service string, call balancer.CallID, command claimer.Command) {
+	i.follower.Claim(service, call, command)
+}
+
+// Run serves until the stop context ends and everything in flight has ended.
+func (i *Runner) Run(stop context.Context) error {
+	public := newServer(i.public(i.server, i.dispatcher))
+	admin := newServer(i.server.Admin(i.publisher))
+	publicListener, err := net.Listen("tcp", i.settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	adminListener, err := net.Listen("tcp", i.settings.Admin)
+	if err != nil {
+		return errors.Wrap(err, "listen for administration")
+	}
+	others, err := i.listen()
+	if err != nil {
+		return err
+	}
+	i.group.Go(func() { i.dispatcher.Run(i.ctx) })
+	i.group.Go(func() { i.follower.Run(i.ctx) })
+	i.group.Go(func() { logError("time line", i.publisher.Run(i.ctx)) })
+	i.group.Go(func() { logError("callers' server", public.Serve(publicListener)) })
+	i.group.Go(func() { logError("administration server", admin.Serve(adminListener)) })
+	i.publish(recorder.Event{Kind: recorder.KindStarted})
+	slog.Info("serving", "listen", i.settings.Listen, "admin", i.settings.Admin)
+	<-stop.Done()
+	err = i.drain(public)
+	i.cancel()
+	for _, s := range append(others, admin) {
+		_ = s.Close() // nothing of a caller is on it
+	}
+	i.group.Wait()
+	return err
+}
+
+// listen serves the other addresses.
+func (i *Runner) listen() ([]*http.Server, error) {
+	servers := make([]*http.Server, 0, len(i.listeners))
+	for _, l := range i.listeners {
+		conn, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen at %s", l.address)
+		}
+		s := newServer(l.handler(i.server))
+		servers = append(servers, s)
+		i.group.Go(func() { logError("server at "+l.address, s.Serve(conn)) })
+	}
+	return servers, nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+func logError(what string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		slog.Error(what+" ended", "error", err)
+	}
+}
+
+// drain carries out the planned stop: unready, serving on, then finishing.
+func (i *Runner) drain(public *http.Server) error {
+	slog.Info("stopping", "notice", i.settings.Notice)
+	i.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "readiness fails, still serving"})
+	i.server.Stop()
+	d := drainer.New(i.settings.Notice).WithStop(time.Now())
+	for d.Phase() == drainer.PhaseNoticing {
+		time.Sleep(drainInterval)
+		d = d.With(time.Now(), i.dispatcher.InFlight())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Grace)
+	defer cancel()
+	if err := public.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "requests were still in flight")
+	}
+	for d.Phase() != drainer.PhaseDone || !i.follower.Settled() {
+		if ctx.Err() != nil {
+			return errors.New("attempts or claims were still in flight")
+		}
+		time.Sleep(drainInterval)
+		d = d.With(time.Now(), i.dispatcher.InFlight())
+	}
+	i.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "nothing in flight"})
+	slog.Info("stopped")
+	return nil
+}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -55,6 +55,14 @@
 	return r
 }
 
+// Calls returns the handler for callers only, at an address that takes nothing else.
+func (s *Server) Calls(calls http.Handler) http.Handler {
+	return s.closeWhenStopping(boundHeader(calls))
+}
+
+// Ready reports whether callers should be sent to this instance.
+func (s *Server) Ready() bool { return !s.stopping.Load() && s.entry.Ready() }
+
 // closeWhenStopping asks callers to come back on another connection, which the
 // platform gives to another instance.
 func (s *Server) closeWhenStopping(next http.Handler) http.Handler {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"comfreyplank.org/entry/runner"
 	"comfreyplank.org/shell/configurer"
 )
 
@@ -27,6 +28,13 @@
 	return s, s.check()
 }
 
+func (s settings) runner() runner.Settings {
+	return runner.Settings{
+		Name: s.Name, DataCentre: s.DataCentre, Listen: s.Listen, Admin: s.Admin, Control: s.Control,
+		AnnounceKey: s.AnnounceKey, Notice: s.Notice, Grace: s.Grace,
+	}
+}
+
 func (s settings) check() error {
 	var c configurer.Checker
 	c.Name("name", s.Name)
--- a/shell/encoder/encoder.go
+++ b/shell/encoder/encoder.go
@@ -38,6 +38,7 @@
 		Sequence:    a.Sequence,
 		Load:        int64(a.Load),
 		Gone:        a.Gone,
+		WarmUpNanos: int64(a.WarmUp),
 	}
 }
 
@@ -53,6 +54,7 @@
 		Sequence:    a.GetSequence(),
 		Load:        int(a.GetLoad()),
 		Gone:        a.GetGone(),
+		WarmUp:      time.Duration(a.GetWarmUpNanos()),
 	}
 }
 
--- a/shell/encoder/entry.go
+++ b/shell/encoder/entry.go
@@ -87,6 +87,9 @@
 		}
 		claimed := &wire.Claimed{Request: v.Request, Refused: v.Refused, Verdict: uint32(v.Result.Verdict), Answer: answer}
 		return &wire.FromControl{Message: &wire.FromControl_Claimed{Claimed: claimed}}, nil
+	case messenger.Replicas:
+		replicas := &wire.Replicas{Addresses: v.Addresses}
+		return &wire.FromControl{Message: &wire.FromControl_Replicas{Replicas: replicas}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -112,6 +115,8 @@
 		}, nil
 	case *wire.FromControl_Claimed:
 		return decodeClaimed(v.Claimed)
+	case *wire.FromControl_Replicas:
+		return messenger.Replicas{Addresses: v.Replicas.GetAddresses()}, nil
 	}
 	return nil, ErrUnknownMessage
 }
