Send entries away from a replica that has lost its majority

Change: a replica without a majority says so at once; the entry goes on to the next. A stop whose grace is over no longer waits for attempts in flight.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -241,6 +241,8 @@
 
 	// inForce is a revision that every entry in standing has; it never falls.
 	inForce uint64
+	// lagging is set while this replica hears no majority and entries are told so.
+	lagging bool
 	// departedUntil is when the entries of removed replicas have lost standing.
 	departedUntil time.Time
 	memberIDs     replicator.Membership
@@ -405,6 +407,7 @@
 	c.admitPeers(now)
 	c.sayPresence(now)
 	c.expireEntries(now)
+	c.noteLagging(now)
 	c.expireReads(now)
 	c.expireClaims(now)
 	c.advanceClaims(now)
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -117,6 +117,23 @@
 	assert.Assert(t, s.status(2) == controller.ApplyNotTaken || s.status(2) == controller.ApplyUnknown)
 }
 
+// TestEntryLeavesLaggingReplicaAtOnce cuts two of five replicas off from the others:
+// entries that follow them go on with the majority as soon as the cut shows.
+func TestEntryLeavesLaggingReplicaAtOnce(t *testing.T) {
+	s := ready(t, 5, 10)
+	minority := s.controls[:2]
+	for _, a := range minority {
+		for _, b := range s.controls[2:] {
+			s.cut[[2]string{a.name, b.name}] = true
+			s.cut[[2]string{b.name, a.name}] = true
+		}
+	}
+	s.run(controller.QuorumWindow + 700*time.Millisecond)
+	for _, e := range s.entries {
+		assert.Assert(t, e.peer != minority[0] && e.peer != minority[1], e.name)
+	}
+}
+
 func TestColdEntryTakesNothingFromReplicaThatIsBehind(t *testing.T) {
 	s := ready(t, 3, 2)
 	behind := s.controls[0]
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -31,6 +31,9 @@
 	if v, ok := m.(messenger.Hello); ok {
 		c.entries[conn] = &entry{hello: v, revision: v.Revision}
 		c.record(recorder.Event{Kind: recorder.KindEntryJoined, Detail: v.Entry})
+		if !c.hearsMajority(now) {
+			c.do(SendEntry{Conn: conn, Message: messenger.Lagging{}})
+		}
 		c.startEntryRead(now, conn)
 		return
 	}
@@ -48,6 +51,21 @@
 	}
 }
 
+// noteLagging sends the entries of a replica that has lost its majority to others.
+func (c *Controller) noteLagging(now time.Time) {
+	lagging := !c.hearsMajority(now)
+	if lagging == c.lagging {
+		return
+	}
+	c.lagging = lagging
+	if !lagging {
+		return
+	}
+	for _, conn := range c.connections() {
+		c.do(SendEntry{Conn: conn, Message: messenger.Lagging{}})
+	}
+}
+
 // startEntryRead keeps asking until a majority confirms, as long as the entry is
 // connected.
 func (c *Controller) startEntryRead(now time.Time, conn Conn) {
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -113,7 +113,12 @@
 	Addresses []string
 }
 
+// Lagging tells an entry that this replica hears no majority: another one may know
+// more.
+type Lagging struct{}
+
 func (Replicas) toEntry()   {}
+func (Lagging) toEntry()    {}
 func (Configured) toEntry() {}
 func (BeatAnswer) toEntry() {}
 func (Endpoints) toEntry()  {}
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -362,9 +362,21 @@
 		s.onClaimed(v)
 	case messenger.Replicas:
 		s.onReplicas(v.Addresses)
+	case messenger.Lagging:
+		s.onLagging(now)
 	}
 }
 
+// onLagging leaves a replica that may be cut off, where there is another one.
+func (s *Subscriber) onLagging(now time.Time) {
+	if !s.connected || len(s.replicas) < 2 {
+		return
+	}
+	s.do(Close{})
+	s.onClosed(now)
+	s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(reconnectMin))))
+}
+
 // onReplicas takes up where replicas are now. The present stream stays.
 func (s *Subscriber) onReplicas(addresses []string) {
 	if s.discovers && len(addresses) > 0 {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -161,11 +161,14 @@
 	<-stop.Done()
 	err = i.drain(public)
 	i.cancel()
-	for _, s := range append(others, admin) {
-		_ = s.Close() // nothing of a caller is on it
+	for _, s := range append(others, admin, public) {
+		_ = s.Close() // nothing of a caller is on it, or its time is over
+	}
+	if err != nil {
+		return err // what is still in flight ends with the process
 	}
 	i.group.Wait()
-	return err
+	return nil
 }
 
 // listen serves the other addresses.
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -57,6 +57,8 @@
 
 func TestMessagesToEntrySurviveTheWire(t *testing.T) {
 	for _, m := range []messenger.ToEntry{
+		messenger.Replicas{Addresses: []string{"127.0.0.1:1", "127.0.0.1:2"}},
+		messenger.Lagging{},
 		messenger.Configured{Revision: 1, Document: validator.Document{ChangeID: "c", Services: []validator.Service{{Name: "s"}}}},
 		messenger.BeatAnswer{Sequence: 1, Standing: true, Shares: []messenger.ServiceShare{share}},
 		messenger.Endpoints{Full: true, Changed: []registrar.Announcement{announcement}, Removed: []registrar.Name{name}},
--- a/shell/encoder/entry.go
+++ b/shell/encoder/entry.go
@@ -90,6 +90,8 @@
 	case messenger.Replicas:
 		replicas := &wire.Replicas{Addresses: v.Addresses}
 		return &wire.FromControl{Message: &wire.FromControl_Replicas{Replicas: replicas}}, nil
+	case messenger.Lagging:
+		return &wire.FromControl{Message: &wire.FromControl_Lagging{Lagging: &wire.Lagging{}}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -117,6 +119,8 @@
 		return decodeClaimed(v.Claimed)
 	case *wire.FromControl_Replicas:
 		return messenger.Replicas{Addresses: v.Replicas.GetAddresses()}, nil
+	case *wire.FromControl_Lagging:
+		return messenger.Lagging{}, nil
 	}
 	return nil, ErrUnknownMessage
 }
