--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -128,7 +128,11 @@
 
 func (d *Driver) open(folder string) (controller.Disk, replicator.ID, error) {
 	var disk controller.Disk
-	id, err := journaler.Identity(folder)
+	logs := make([]string, 0, len(messenger.Groups))
+	for _, g := range messenger.Groups {
+		logs = append(logs, g.String())
+	}
+	id, err := journaler.Identity(folder, logs...)
 	if err != nil {
 		return disk, "", err
 	}
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -8,7 +8,6 @@
 	"os"
 	"path/filepath"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/core/replicator"
@@ -25,32 +24,6 @@
 	fileMode     = 0o640
 )
 
-// Identity returns the identity of the replica whose disk the folder is, and makes
-// one for an empty folder.
-func Identity(folder string) (replicator.ID, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return "", errors.Wrap(err, "make data folder")
-	}
-	path := filepath.Join(folder, identityName)
-	data, err := os.ReadFile(path)
-	if err == nil {
-		id, _, ok := parse(data)
-		if !ok {
-			return "", errors.Wrap(ErrDamaged, identityName)
-		}
-		return replicator.ID(id), nil
-	}
-	if !os.IsNotExist(err) {
-		return "", errors.Wrap(err, "read identity")
-	}
-	id := uuid.NewString()
-	framed, err := frame([]byte(id))
-	if err != nil {
-		return "", err
-	}
-	return replicator.ID(id), replace(path, framed)
-}
-
 // Journal is the disk of one replicated log. It is not safe for concurrent use.
 type Journal struct {
 	folder string
@@ -63,8 +36,8 @@
 // Open reads the disk of a log. An empty folder gives an empty log. A torn last
 // write is cut off and reported; any other damage is an error.
 func Open(folder string) (*Journal, replicator.Stored, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, replicator.Stored{}, errors.Wrap(err, "make journal folder")
+	if err := makeFolder(folder); err != nil {
+		return nil, replicator.Stored{}, err
 	}
 	j := &Journal{folder: folder}
 	stored, err := j.load()
@@ -303,6 +276,22 @@
 	return syncFolder(filepath.Dir(path))
 }
 
+// makeData makes the data folder, unless it is there.
+func makeData(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil // given, and not ours to sync
+	}
+	return makeFolder(path)
+}
+
+// makeFolder makes a folder that is there after a loss of power too.
+func makeFolder(path string) error {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
 func syncFolder(path string) error {
 	folder, err := os.Open(path)
 	if err != nil {
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -164,6 +164,29 @@
 	assert.Assert(t, first != other)
 }
 
+// TestLostJournalMakesANewMember loses the folder of one log, as a loss of power may
+// do: the replica must not vote again under the identity that has a past.
+func TestLostJournalMakesANewMember(t *testing.T) {
+	folder := t.TempDir()
+	logs := []string{"config", "claims"}
+	first, err := Identity(folder, logs...)
+	assert.NilError(t, err)
+	for _, log := range logs {
+		j, _ := open(t, filepath.Join(folder, log))
+		persist(t, j, replicator.Output{State: &replicator.HardState{Term: 3, Vote: first}})
+		assert.NilError(t, j.Close())
+	}
+	again, err := Identity(folder, logs...)
+	assert.NilError(t, err)
+	assert.Equal(t, first, again)
+	assert.NilError(t, os.RemoveAll(filepath.Join(folder, "config")))
+	next, err := Identity(folder, logs...)
+	assert.NilError(t, err)
+	assert.Assert(t, next != first)
+	_, stored := open(t, filepath.Join(folder, "claims"))
+	assert.Equal(t, stored.State, replicator.HardState{})
+}
+
 func TestFolderHasOneUser(t *testing.T) {
 	folder := t.TempDir()
 	lock, err := NewLock(folder)
--- a/control/journaler/lock.go
+++ b/control/journaler/lock.go
@@ -18,8 +18,8 @@
 
 // NewLock takes the lock of a data folder.
 func NewLock(folder string) (*Lock, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, errors.Wrap(err, "make data folder")
+	if err := makeData(folder); err != nil {
+		return nil, err
 	}
 	file, err := os.OpenFile(filepath.Join(folder, lockName), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -19,6 +19,7 @@
 	"comfreyplank.org/control/server"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
 )
 
@@ -52,6 +53,7 @@
 type Option func(*options)
 
 type options struct {
+	narrator  *narrator.Narrator
 	driver    []driver.Option
 	listeners []listener
 }
@@ -67,6 +69,9 @@
 	return func(o *options) { o.driver = append(o.driver, opts...) }
 }
 
+// WithNarrator writes what the replica decides to a log.
+func WithNarrator(n *narrator.Narrator) Option { return func(o *options) { o.narrator = n } }
+
 // WithListener serves another address as well.
 func WithListener(address string, handler func(d *driver.Driver) http.Handler) Option {
 	return func(o *options) { o.listeners = append(o.listeners, listener{address, handler}) }
@@ -94,7 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	events := publisher.New(s.Name, publisher.DefaultCapacity)
-	publish := func(e recorder.Event) { events.Publish(time.Now(), e) }
+	publish := r.publishTo(ctx, events)
 	set := append([]driver.Option{driver.WithPeers(s.Peers), driver.WithPublish(publish)}, r.options.driver...)
 	d, err := driver.New(&r.group, events, s.Data, s.Name, s.Listen, set...)
 	if err != nil {
@@ -132,6 +137,21 @@
 	return err
 }
 
+// publishTo returns where events go: to the time line, and to the log where it is
+// wanted.
+func (r *Runner) publishTo(ctx context.Context, events *publisher.Publisher) func(recorder.Event) {
+	n := r.options.narrator
+	if n == nil {
+		return func(e recorder.Event) { events.Publish(time.Now(), e) }
+	}
+	r.group.Go(func() { n.Run(ctx) })
+	return func(e recorder.Event) {
+		now := time.Now()
+		events.Publish(now, e)
+		n.Note(now, e)
+	}
+}
+
 // serve serves the operators' address and the other ones.
 func (r *Runner) serve(d *driver.Driver, admin http.Handler) ([]*http.Server, error) {
 	addresses := append([]listener{{r.settings.Admin, func(*driver.Driver) http.Handler { return admin }}}, r.options.listeners...)
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -134,6 +134,32 @@
 	}
 }
 
+// TestWipedReplicaRejoinsLeaderThatItDoesNotKnow wipes a replica while one that is no
+// seed leads both groups: the new member is heard of through the seeds.
+func TestWipedReplicaRejoinsLeaderThatItDoesNotKnow(t *testing.T) {
+	s := newSeededSystem(t, 5, 3, 1, 11)
+	s.run(5 * time.Second)
+	for s.leader() != s.controls[4] {
+		lead := s.leader()
+		if lead != nil {
+			s.crash(lead)
+		}
+		s.run(3 * time.Second)
+		if lead != nil {
+			s.start(lead)
+		}
+		s.run(2 * time.Second)
+	}
+	lost := s.controls[0]
+	s.crash(lost)
+	s.wipe(lost)
+	s.start(lost)
+	s.run(4 * time.Second)
+	status := s.controls[4].machine.Status(s.now)
+	assert.Assert(t, votes(status.Members, lost.id))
+	assert.Equal(t, status.Members.Voters(), 5)
+}
+
 func TestColdEntryTakesNothingFromReplicaThatIsBehind(t *testing.T) {
 	s := ready(t, 3, 2)
 	behind := s.controls[0]
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -139,9 +139,29 @@
 	p.heard = now
 	c.inForce = max(c.inForce, min(v.InForce, c.committer.Revision()))
 	c.answerApplies(now)
+	if v.Relayed {
+		return // it speaks to others, and is compared with them
+	}
+	c.relayPresence(v)
 	c.compareRegistry(p, v.Registry, fresh)
 }
 
+// relayPresence tells the leaders of a replica that is no member and may not know
+// them: it knows only the replicas of its settings.
+func (c *Controller) relayPresence(v messenger.Presence) {
+	v.Relayed = true
+	for _, id := range messenger.Groups {
+		g := c.group(id)
+		members := g.replica.Members()
+		if _, ok := members.Find(v.Member.ID); ok {
+			continue
+		}
+		if leader, ok := members.Find(g.replica.Leader()); ok && leader.ID != c.self.ID {
+			c.do(SendPeer{Address: leader.Address, Message: v})
+		}
+	}
+}
+
 // admitPeers takes in the replicas that are there, as fast as one change of
 // membership at a time allows.
 func (c *Controller) admitPeers(now time.Time) {
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -33,6 +33,8 @@
 	now      time.Time
 	rand     *rand.Rand
 	controls []*control
+	// seeds is how many replicas each one is told of at its start; zero tells of all.
+	seeds    int
 	entries  []*entry
 	backends []*backend
 	cut      map[[2]string]bool
@@ -97,7 +99,12 @@
 }
 
 func newSystem(t failer, controls, entries int, seed uint64) *system {
-	s := &system{
+	return newSeededSystem(t, controls, 0, entries, seed)
+}
+
+// newSeededSystem tells each replica of the first ones only.
+func newSeededSystem(t failer, controls, seeds, entries int, seed uint64) *system {
+	s := &system{seeds: seeds,
 		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 7)), cut: map[[2]string]bool{},
 		applied: map[uint64]validator.Document{}, winners: map[uint64]string{}, verdicts: map[string]controller.AnswerApply{},
 		runs: map[string]int{}, callRuns: map[string]int{}, told: map[string]balancer.Outcome{},
@@ -124,8 +131,10 @@
 
 func (s *system) peers() []replicator.Member {
 	var peers []replicator.Member
-	for _, c := range s.controls {
-		peers = append(peers, replicator.Member{Name: c.name, Address: c.name})
+	for i, c := range s.controls {
+		if s.seeds == 0 || i < s.seeds {
+			peers = append(peers, replicator.Member{Name: c.name, Address: c.name})
+		}
 	}
 	return peers
 }
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -165,6 +165,9 @@
 	InForce uint64
 	// Registry is a digest of the endpoints that the replica knows.
 	Registry uint64
+	// Relayed is set when another replica passes it on to a leader that the sender
+	// doesn't know.
+	Relayed bool
 }
 
 // EndpointNews passes endpoint announcements on to the other replicas.
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -25,6 +25,9 @@
 const (
 	reconnectMin = 100 * time.Millisecond
 	reconnectMax = 400 * time.Millisecond
+	// laggingSpread is the most that an entry waits to go on to another replica, as
+	// long as it has not met all of them.
+	laggingSpread = 50 * time.Millisecond
 	// standingPatience is how long a replica may answer without giving standing
 	// before another is tried.
 	standingPatience = 1500 * time.Millisecond
@@ -154,6 +157,8 @@
 	seeds     []string
 	told      []string
 	discovers bool
+	// lagging counts the replicas in a row that heard no majority.
+	lagging int
 	// replicas are those that may be followed, each once.
 	replicas []string
 	rand     *rand.Rand
@@ -374,7 +379,10 @@
 	}
 	s.do(Close{})
 	s.onClosed(now)
-	s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(reconnectMin))))
+	s.lagging++
+	if s.lagging < len(s.replicas) {
+		s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(laggingSpread))))
+	}
 }
 
 // onReplicas takes up where replicas are now. The present stream stays.
@@ -419,6 +427,7 @@
 		return
 	}
 	s.followedAt = now
+	s.lagging = 0
 	s.standingUntil = sentAt.Add(messenger.StandingLease)
 	s.do(Stand{Until: s.standingUntil})
 	if !s.stood {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -23,6 +23,7 @@
 	"comfreyplank.org/entry/dispatcher"
 	"comfreyplank.org/entry/follower"
 	"comfreyplank.org/entry/server"
+	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
 )
 
@@ -76,6 +77,9 @@
 	return func(r *Runner) { r.follow = append(r.follow, opts...) }
 }
 
+// WithNarrator writes what the entry decides to a log.
+func WithNarrator(n *narrator.Narrator) Option { return func(r *Runner) { r.narrator = n } }
+
 // listener is an address that is served besides the usual ones.
 type listener struct {
 	address string
@@ -90,6 +94,7 @@
 	listeners  []listener
 	follow     []follower.Option
 	publisher  *publisher.Publisher
+	narrator   *narrator.Narrator
 	dispatcher *dispatcher.Dispatcher
 	follower   *follower.Follower
 	server     *server.Server
@@ -129,7 +134,13 @@
 // SetControl tells where control replicas are now.
 func (i *Runner) SetControl(addresses []string) { i.follower.SetReplicas(addresses) }
 
-func (i *Runner) publish(e recorder.Event) { i.publisher.Publish(time.Now(), e) }
+func (i *Runner) publish(e recorder.Event) {
+	now := time.Now()
+	i.publisher.Publish(now, e)
+	if i.narrator != nil {
+		i.narrator.Note(now, e)
+	}
+}
 
 func (i *Runner) claim(service string, call balancer.CallID, command claimer.Command) {
 	i.follower.Claim(service, call, command)
@@ -153,6 +164,9 @@
 	}
 	i.group.Go(func() { i.dispatcher.Run(i.ctx) })
 	i.group.Go(func() { i.follower.Run(i.ctx) })
+	if i.narrator != nil {
+		i.group.Go(func() { i.narrator.Run(i.ctx) })
+	}
 	i.group.Go(func() { logError("time line", i.publisher.Run(i.ctx)) })
 	i.group.Go(func() { logError("callers' server", public.Serve(publicListener)) })
 	i.group.Go(func() { logError("administration server", admin.Serve(adminListener)) })
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -78,7 +78,7 @@
 
 func TestMessagesToPeersSurviveTheWire(t *testing.T) {
 	messages := []messenger.ToPeer{
-		messenger.Presence{Member: member, Run: 1, Founded: true, InForce: 2, Registry: 3},
+		messenger.Presence{Member: member, Run: 1, Founded: true, InForce: 2, Registry: 3, Relayed: true},
 		messenger.EndpointNews{Announcements: []registrar.Announcement{announcement}, Renewals: []messenger.Renewal{{Name: name, Incarnation: 1, Sequence: 2, Load: 3}}},
 		messenger.ShareRequest{Sent: 1, From: "f", Run: 2, Entries: 3},
 		messenger.ShareReply{Sent: 1, Run: 2, Shares: []messenger.ServiceShare{share}},
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -18,7 +18,7 @@
 		}
 		return &wire.FromPeer{Message: &wire.FromPeer_Replicated{Replicated: replicated}}, nil
 	case messenger.Presence:
-		presence := &wire.Presence{Member: encodeMember(v.Member), Run: v.Run, Founded: v.Founded, InForce: v.InForce, Registry: v.Registry}
+		presence := &wire.Presence{Member: encodeMember(v.Member), Run: v.Run, Founded: v.Founded, InForce: v.InForce, Registry: v.Registry, Relayed: v.Relayed}
 		return &wire.FromPeer{Message: &wire.FromPeer_Presence{Presence: presence}}, nil
 	case messenger.EndpointNews:
 		news := &wire.EndpointNews{Announcements: each(v.Announcements, encodeAnnouncement), Renewals: each(v.Renewals, encodeRenewal)}
@@ -40,7 +40,7 @@
 		return decodeReplicated(v.Replicated)
 	case *wire.FromPeer_Presence:
 		p := v.Presence
-		return messenger.Presence{Member: decodeMember(p.GetMember()), Run: p.GetRun(), Founded: p.GetFounded(), InForce: p.GetInForce(), Registry: p.GetRegistry()}, nil
+		return messenger.Presence{Member: decodeMember(p.GetMember()), Run: p.GetRun(), Founded: p.GetFounded(), InForce: p.GetInForce(), Registry: p.GetRegistry(), Relayed: p.GetRelayed()}, nil
 	case *wire.FromPeer_EndpointNews:
 		n := v.EndpointNews
 		return messenger.EndpointNews{Announcements: each(n.GetAnnouncements(), decodeAnnouncement), Renewals: each(n.GetRenewals(), decodeRenewal)}, nil
