Ask three endpoints for load and pace before each request

Cause: a machine is slow (five times) for 150 ms in a quarter of its time, and work takes what the machine's pace is at its start. Change: balancer sampling; three endpoints are asked, the call goes to the one that would answer first by load and pace; one good enough is taken at once.

--- a/core/balancer/action.go
+++ b/core/balancer/action.go
@@ -81,6 +81,9 @@
 
 // Probe asks an endpoint for its load.
 type Probe struct {
+	// Call is the one that waits for the answer; zero for a probe of the watching
+	// budget.
+	Call     CallID
 	Endpoint string
 	Address  string
 	// Path answers probes; empty for the protocol's own.
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -90,6 +90,9 @@
 	picker     *picker.Picker
 	queue      *limiter.Queue
 	budget     *retrier.Budget
+	sampling   Sampling
+	// samplingBudget bounds what sampling asks.
+	samplingBudget samplingBudget
 	// outlives is set for an entry that serves on without standing.
 	outlives  bool
 	prober    prober.Prober
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -33,6 +33,7 @@
 	phaseClaiming
 	phaseWaiting // for the attempt that holds the key, or a leader
 	phaseQueued
+	phaseSampling // for endpoints to tell their load
 	phaseRunning
 )
 
@@ -43,7 +44,9 @@
 	// live attempts are in flight; at most most() were ever made.
 	live  []AttemptID
 	tried []*endpoint
-	made  int
+	// samples are the endpoints that were asked before the first attempt.
+	samples []sample
+	made    int
 	// firstAt is when the first attempt was sent.
 	firstAt time.Time
 	// mayHaveRun is set once an attempt may have run without our learning it.
@@ -90,8 +93,15 @@
 	b.start(now, c)
 }
 
-// start sends the first attempt, or puts the call in the queue.
+// start asks endpoints where the call should go, or sends it at once.
 func (b *Balancer) start(now time.Time, c *call) {
+	if b.queue.Len() > 0 || !b.beginSampling(now, c) {
+		b.startAtOnce(now, c)
+	}
+}
+
+// startAtOnce sends the first attempt, or puts the call in the queue.
+func (b *Balancer) startAtOnce(now time.Time, c *call) {
 	if b.queue.Len() == 0 && b.attempt(now, c) {
 		return
 	}
@@ -182,6 +192,7 @@
 	a := &attempt{id: b.lastAttempt, call: c, endpoint: e, start: now}
 	b.attempts[a.id] = a
 	e.flights = append(e.flights, flight{a.id, now})
+	e.sent++
 	e.trial = e.ejected()
 	b.candidates[e.at].Sent(now)
 	if e.trial {
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -36,7 +36,9 @@
 	Endpoint
 	// flights are ordered by start.
 	flights []flight
-	limit   limiter.Limit
+	// sent counts the requests that were sent there; it never falls.
+	sent  int
+	limit limiter.Limit
 	// provenAfter excludes older connections that have not answered since.
 	provenAfter time.Time
 	failures    int
@@ -297,6 +299,10 @@
 }
 
 func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
+	if v.Call != 0 {
+		b.onSampled(now, v)
+		return
+	}
 	b.prober.Refund(v.Took)
 	i := b.position(v.Endpoint)
 	if i < 0 {
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -107,6 +107,8 @@
 
 // ProbeEnded ends a probe.
 type ProbeEnded struct {
+	// Call is the one of the Probe.
+	Call     CallID
 	Endpoint string
 	OK       bool
 	Took     time.Duration
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -12,6 +12,7 @@
 	timerHedge timerKind = iota + 1
 	timerDeadline
 	timerClaim
+	timerSampling
 )
 
 type timer struct {
@@ -78,6 +79,10 @@
 			b.onDeadline(now, c)
 		case timerClaim:
 			b.onClaimDue(now, c)
+		case timerSampling:
+			if c.phase == phaseSampling {
+				b.endSampling(now, c)
+			}
 		}
 	}
 }
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -246,7 +246,7 @@
 		report, ok := l.forwarder.Probe(ctx, v)
 		took := l.around.Now().Sub(start)
 		l.around.Count.Probe(l.service, took)
-		l.handle(balancer.ProbeEnded{Endpoint: v.Endpoint, OK: ok, Took: took, Report: report})
+		l.handle(balancer.ProbeEnded{Call: v.Call, Endpoint: v.Endpoint, OK: ok, Took: took, Report: report})
 	})
 }
 
