Refuse at once what no endpoint has room for, and hold for a fast one

Change: the usual work of each kind of call is measured as latency over estimate; a call that would miss its target waits a little for an endpoint that is not slow, at most an eighth of its target for a free slot, and is refused then, to come back spread over a third of its time.

--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -18,6 +18,9 @@
 	latency := now.Sub(a.start)
 	b.reported(now, a.endpoint, v.Report, len(a.endpoint.flights)-1)
 	b.measure(now, a.endpoint, v.Report, latency)
+	if c := a.call; c != nil && !isFailure(v.Status) {
+		b.work.observe(c.Target, latency, a.estimate)
+	}
 	if c := a.call; c != nil && b.retryStatus(now, c, a, v.Status) {
 		return
 	}
@@ -37,7 +40,7 @@
 func (b *Balancer) measure(now time.Time, e *endpoint, r Report, latency time.Duration) {
 	b.candidates[e.at].Answered(now, latency)
 	b.picker.Observe(latency, r.Load, e.Slots)
-	b.quantile.observe(latency)
+	b.quantile.observe(latency, hedgeTarget)
 }
 
 // isFailure tells the statuses that speak against an endpoint.
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -55,6 +55,9 @@
 	Class     validator.Class
 	// Deadline is when the caller stops waiting, or its route's time is over.
 	Deadline time.Time
+	// Target is the time within which an answer has its full worth; zero when none is
+	// stated.
+	Target time.Duration
 	// Attempts bounds the attempts; zero means retrier.MaxAttempts.
 	Attempts int
 	// Chained is set when the request is itself a retry of an entry higher up.
@@ -93,6 +96,7 @@
 	sampling   Sampling
 	// samplingBudget bounds what sampling asks.
 	samplingBudget samplingBudget
+	work           work
 	// outlives is set for an entry that serves on without standing.
 	outlives  bool
 	prober    prober.Prober
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -34,18 +34,22 @@
 	phaseWaiting // for the attempt that holds the key, or a leader
 	phaseQueued
 	phaseSampling // for endpoints to tell their load
+	phaseHeld     // for a better endpoint
 	phaseRunning
 )
 
 // call is a call without an answer.
 type call struct {
 	Call
-	phase phase
+	phase     phase
+	arrivedAt time.Time
 	// live attempts are in flight; at most most() were ever made.
 	live  []AttemptID
 	tried []*endpoint
 	// samples are the endpoints that were asked before the first attempt.
 	samples []sample
+	// sampled is set once endpoints have been asked.
+	sampled bool
 	made    int
 	// firstAt is when the first attempt was sent.
 	firstAt time.Time
@@ -68,6 +72,8 @@
 	endpoint *endpoint
 	start    time.Time
 	answered bool
+	// estimate is how long it was to take, in usual times; zero when it is not known.
+	estimate float64
 }
 
 // most returns how many attempts may be made.
@@ -79,7 +85,7 @@
 }
 
 func (b *Balancer) onArrived(now time.Time, v Call) {
-	c := &call{Call: v}
+	c := &call{Call: v, arrivedAt: now}
 	b.calls[v.ID] = c
 	if !now.Before(v.Deadline) {
 		b.refuse(now, c, ReasonDeadline)
@@ -319,6 +325,21 @@
 	b.refuse(now, c, reason)
 }
 
+// comebackShare is the part of the time that is left after which a refused caller
+// should come again at the latest, with time for an answer.
+const comebackShare = 3
+
+// retryAfter spreads the callers that are refused together. Zero leaves it to the
+// protocol.
+func (b *Balancer) retryAfter(now time.Time, c *call) time.Duration {
+	left := c.Deadline.Sub(now)
+	if !c.sampled || left <= 0 {
+		return 0
+	}
+	most := left / comebackShare
+	return most/2 + time.Duration(b.rand.Int64N(int64(most/2)+1))
+}
+
 // refuse ends a call without an answer, and says truthfully whether it may have
 // run.
 func (b *Balancer) refuse(now time.Time, c *call, reason Reason) {
@@ -332,7 +353,7 @@
 	b.giveUpClaim(c)
 	b.record(kind, c, nil, string(reason))
 	if !c.gone {
-		b.do(Refuse{Call: c.ID, Outcome: outcome, Reason: reason})
+		b.do(Refuse{Call: c.ID, Outcome: outcome, Reason: reason, RetryAfter: b.retryAfter(now, c)})
 	}
 	b.end(now, c)
 }
--- a/core/balancer/reason.go
+++ b/core/balancer/reason.go
@@ -19,6 +19,7 @@
 	ReasonKeyLarge    Reason = "the request with this key has run; its answer was too large to keep"
 	ReasonFailed      Reason = "no endpoint could be reached"
 	ReasonShed        Reason = "the endpoints refused the request"
+	ReasonOverload    Reason = "the endpoints have no room to answer in time"
 	ReasonMisdirected Reason = "another endpoint has the address"
 	ReasonLost        Reason = "the endpoint's connection failed"
 	ReasonTimeout     Reason = "the endpoint did not answer in time"
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -22,6 +22,18 @@
 // WithSampling asks endpoints before each request.
 func WithSampling(s Sampling) Option { return func(b *Balancer) { b.sampling = s } }
 
+// Tuning of what follows the answers.
+const (
+	// resampleAfter is how long a call waits before it asks others: a few times what
+	// the answers take, and well below the time for which an endpoint stays slow.
+	resampleAfter = 15 * time.Millisecond
+	// holdShare is the part of its target that a call may wait for a free slot. Callers
+	// are better off with a refusal than with a longer wait for the same.
+	holdShare = 8
+	// workMargin is how much longer than usual work may take and still be awaited.
+	workMargin = 1.2
+)
+
 // sample is an endpoint that a call has asked.
 type sample struct {
 	endpoint *endpoint
@@ -71,6 +83,7 @@
 		return false
 	}
 	c.phase = phaseSampling
+	c.sampled = true
 	deadline := now.Add(b.sampling.Wait)
 	for _, s := range c.samples {
 		b.do(Probe{Call: c.ID, Endpoint: s.endpoint.name(), Address: s.endpoint.Address, Path: b.probePath, Deadline: deadline})
@@ -133,21 +146,72 @@
 	return b.candidates[s.endpoint.at].Estimate(s.said, s.endpoint.sent-s.sentBefore)
 }
 
-// endSampling sends the call to the best endpoint that has answered. Without an
-// answer it goes by what was known before.
+// endSampling sends the call to the best endpoint that has answered, lets it wait for
+// a better one, or refuses it. Without an answer it goes by what was known before.
 func (b *Balancer) endSampling(now time.Time, c *call) {
 	c.phase = phaseNew
-	best := b.bestSample(now, c)
-	c.samples = nil
-	if best != nil {
-		b.dispatch(now, c, best)
+	best, estimate := b.bestSample(now, c)
+	if best == nil {
+		c.samples = nil
+		b.startAtOnce(now, c)
 		return
 	}
-	b.startAtOnce(now, c)
+	free := best.said.Load+best.endpoint.sent-best.sentBefore < best.endpoint.Slots
+	e := best.endpoint
+	switch {
+	case b.meetsTarget(now, c, estimate, free):
+		b.dispatchEstimated(now, c, e, estimate)
+	case b.mayHold(now, c, free):
+		c.samples = nil
+		c.phase = phaseHeld
+		b.schedule(now.Add(resampleAfter), c.ID, timerSampling)
+	case free:
+		b.dispatchEstimated(now, c, e, estimate)
+	default:
+		b.refuse(now, c, ReasonOverload)
+	}
 }
 
-func (b *Balancer) bestSample(now time.Time, c *call) *endpoint {
-	var best *endpoint
+// meetsTarget reports whether the call would be answered within its target.
+func (b *Balancer) meetsTarget(now time.Time, c *call, estimate float64, free bool) bool {
+	work := b.work.of(c.Target)
+	if c.Target == 0 || work == 0 {
+		return free
+	}
+	return now.Sub(c.arrivedAt)+scaled(work, estimate) <= c.Target
+}
+
+// mayHold reports whether the call can still meet its target if it waits a little: for
+// an endpoint that is not slow now, or for a short time for a free slot.
+func (b *Balancer) mayHold(now time.Time, c *call, free bool) bool {
+	waited := now.Sub(c.arrivedAt)
+	if waited+resampleAfter+scaled(b.work.of(c.Target), workMargin) > c.Target {
+		return false
+	}
+	return free || waited < c.Target/holdShare
+}
+
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+func (b *Balancer) dispatchEstimated(now time.Time, c *call, e *endpoint, estimate float64) {
+	c.samples = nil
+	b.dispatch(now, c, e)
+	b.attempts[b.lastAttempt].estimate = estimate
+}
+
+// onSamplingDue ends the wait for answers, or for better ones.
+func (b *Balancer) onSamplingDue(now time.Time, c *call) {
+	switch c.phase {
+	case phaseSampling:
+		b.endSampling(now, c)
+	case phaseHeld:
+		c.phase = phaseNew
+		b.start(now, c)
+	}
+}
+
+func (b *Balancer) bestSample(now time.Time, c *call) (*sample, float64) {
+	var best *sample
 	least := math.Inf(1)
 	for i := range c.samples {
 		s := &c.samples[i]
@@ -155,9 +219,51 @@
 			continue
 		}
 		if estimate := b.estimate(s); estimate < least {
-			best = s.endpoint
+			best = s
 			least = estimate
 		}
 	}
-	return best
+	return best, least
+}
+
+// work is how long the work of each kind of call takes by itself, told apart by their
+// targets.
+type work struct {
+	kinds []workKind
+}
+
+type workKind struct {
+	target time.Duration
+	usual  quantile
+}
+
+// maxWorkKinds bounds the kinds that are told apart.
+const maxWorkKinds = 64
+
+// of returns zero for a kind that has not been measured.
+func (w *work) of(target time.Duration) time.Duration {
+	for i := range w.kinds {
+		if w.kinds[i].target == target {
+			return w.kinds[i].usual.value
+		}
+	}
+	return 0
+}
+
+// observe takes in how long an answer took that was estimated to take so many times
+// the usual.
+func (w *work) observe(target, took time.Duration, estimate float64) {
+	if target == 0 || estimate <= 0 {
+		return
+	}
+	usual := scaled(took, 1/estimate)
+	for i := range w.kinds {
+		if w.kinds[i].target == target {
+			w.kinds[i].usual.observe(usual, medianTarget)
+			return
+		}
+	}
+	if len(w.kinds) < maxWorkKinds {
+		w.kinds = append(w.kinds, workKind{target: target, usual: quantile{usual}})
+	}
 }
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -80,9 +80,7 @@
 		case timerClaim:
 			b.onClaimDue(now, c)
 		case timerSampling:
-			if c.phase == phaseSampling {
-				b.endSampling(now, c)
-			}
+			b.onSamplingDue(now, c)
 		}
 	}
 }
@@ -93,19 +91,21 @@
 }
 
 const (
-	quantileTarget = 0.95
-	quantileStep   = 0.05
+	// hedgeTarget is the quantile after which a second attempt is worth it.
+	hedgeTarget  = 0.95
+	medianTarget = 0.5
+	quantileStep = 0.05
 )
 
-func (q *quantile) observe(d time.Duration) {
+func (q *quantile) observe(d time.Duration, target float64) {
 	if q.value == 0 {
 		q.value = d
 		return
 	}
 	step := quantileStep * float64(q.value)
 	if d > q.value {
-		q.value += time.Duration(step * quantileTarget)
+		q.value += time.Duration(step * target)
 		return
 	}
-	q.value -= time.Duration(step * (1 - quantileTarget))
+	q.value -= time.Duration(step * (1 - target))
 }
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -231,6 +231,7 @@
 		Chained:   said.Chained,
 		Deadline:  d.deadline(said, match),
 		Attempts:  match.Route.Attempts,
+		Target:    time.Duration(match.Route.TargetMs) * time.Millisecond,
 	}
 	request, problem := d.receive(w, r, &call)
 	if problem != nil {
