Know endpoints and elect a leader sooner after a restart of all

Change: replicas keep the endpoints on disk; the first election comes after a third of the timeout; entries ask lagging replicas again after 50 to 100 ms. Beside it: an expired announcement passed on by a peer is not taken again.

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -34,9 +34,12 @@
 	clock    Clock
 	peers    *peers
 	journals map[messenger.Group]*worker
-	lock     *journaler.Lock
-	group    *sync.WaitGroup
-	failed   chan error
+	// endpoints has the latest endpoints to store.
+	endpoints chan []registrar.Announcement
+	folder    string
+	lock      *journaler.Lock
+	group     *sync.WaitGroup
+	failed    chan error
 
 	mu      sync.Mutex
 	machine *controller.Controller
@@ -104,6 +107,8 @@
 		publish:   o.publish,
 		clock:     clock,
 		journals:  make(map[messenger.Group]*worker),
+		endpoints: make(chan []registrar.Announcement, 1),
+		folder:    folder,
 		lock:      lock,
 		group:     group,
 		failed:    make(chan error, 1),
@@ -148,6 +153,9 @@
 		}
 		disk.Config = stored
 	}
+	if disk.Endpoints, err = journaler.LoadEndpoints(folder); err != nil {
+		slog.Warn("the stored endpoints are not used", "error", err)
+	}
 	return disk, id, nil
 }
 
@@ -160,6 +168,7 @@
 	for _, w := range d.journals {
 		workers.Go(func() { d.work(ctx, w) })
 	}
+	workers.Go(func() { d.keepEndpoints(ctx) })
 	ticker := time.NewTicker(controller.TickInterval)
 	defer ticker.Stop()
 	err := d.tick(ctx, ticker)
@@ -211,6 +220,8 @@
 		case controller.AnswerDocument:
 			d.documents[v.Request] <- v
 			delete(d.documents, v.Request)
+		case controller.StoreEndpoints:
+			d.offerEndpoints(v.Announcements)
 		case controller.AnswerAnnounce:
 			d.announces[v.Request] <- v
 			delete(d.announces, v.Request)
@@ -244,6 +255,30 @@
 	}
 }
 
+// offerEndpoints replaces endpoints that wait to be stored.
+func (d *Driver) offerEndpoints(list []registrar.Announcement) {
+	select {
+	case <-d.endpoints:
+	default:
+	}
+	d.endpoints <- list // there is room: only the holder of the lock offers
+}
+
+// keepEndpoints stores the endpoints as they change. What can't be written is left out:
+// endpoints announce themselves again.
+func (d *Driver) keepEndpoints(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case list := <-d.endpoints:
+			if err := journaler.StoreEndpoints(d.folder, list); err != nil {
+				slog.Warn("the endpoints were not stored", "error", err)
+			}
+		}
+	}
+}
+
 // sync tries until the action is on the disk. Until then the replica says nothing
 // that depends on it. A sync that fails ends the process: what the disk holds is
 // not known any more.
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -63,6 +63,9 @@
 			return "", errors.Wrap(err, "remove former journal")
 		}
 	}
+	if err := os.RemoveAll(filepath.Join(folder, endpointsName)); err != nil {
+		return "", errors.Wrap(err, "remove former endpoints")
+	}
 	id := uuid.NewString()
 	framed, err := frame([]byte(id))
 	if err != nil {
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -33,6 +33,7 @@
 	claimTimeout     = 5 * time.Second
 	presenceInterval = 500 * time.Millisecond
 	advanceInterval  = 30 * time.Second
+	storeInterval    = time.Second
 	shareInterval    = 2 * time.Second
 )
 
@@ -148,6 +149,12 @@
 	Stored replicator.Stored
 }
 
+// StoreEndpoints keeps what is known of the endpoints, so that a replica that starts
+// again need not wait for their next announcements. It may be lost.
+type StoreEndpoints struct {
+	Announcements []registrar.Announcement
+}
+
 // AnswerApply answers an Apply.
 type AnswerApply struct {
 	Request  uint64
@@ -179,6 +186,7 @@
 }
 
 func (AnswerAnnounce) action() {}
+func (StoreEndpoints) action() {}
 func (SendPeer) action()       {}
 func (SendEntry) action()      {}
 func (Persist) action()        {}
@@ -254,7 +262,11 @@
 	nextShare   time.Time
 	nextBeat    time.Time
 	nextAdvance time.Time
-	lastAdvance time.Time
+	// nextStore is when the endpoints may be stored again, and storedDigest tells
+	// whether they have changed since.
+	nextStore    time.Time
+	storedDigest uint64
+	lastAdvance  time.Time
 
 	actions []Action
 }
@@ -299,6 +311,8 @@
 type Disk struct {
 	Config replicator.Stored
 	Claims replicator.Stored
+	// Endpoints are those that were known a little before the replica stopped.
+	Endpoints []registrar.Announcement
 }
 
 // New returns the controller of a replica.
@@ -329,7 +343,10 @@
 	if err := c.load(now, disk); err != nil {
 		return nil, err
 	}
+	c.takeIn(now, disk.Endpoints)
 	c.relist(now)
+	c.news = messenger.EndpointNews{} // the others know these
+	c.actions = nil
 	return c, nil
 }
 
@@ -415,6 +432,7 @@
 	c.updateInForce(now)
 	c.answerApplies(now)
 	c.answerDepartures(now)
+	c.storeEndpoints(now)
 }
 
 func (c *Controller) handOver(now time.Time) {
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -83,6 +83,20 @@
 	c.registry.Announce(now, a)
 }
 
+// storeEndpoints keeps the endpoints when they have changed.
+func (c *Controller) storeEndpoints(now time.Time) {
+	if now.Before(c.nextStore) {
+		return
+	}
+	c.nextStore = now.Add(storeInterval)
+	digest := c.registryDigest()
+	if digest == c.storedDigest {
+		return
+	}
+	c.storedDigest = digest
+	c.do(StoreEndpoints{Announcements: c.registry.List("")})
+}
+
 func (c *Controller) expireEndpoints(now time.Time) {
 	expired := c.registry.Expire(now)
 	removed := make([]registrar.Name, 0, len(expired))
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -118,6 +118,9 @@
 type Registry struct {
 	records map[Name]record
 	lease   time.Duration
+	// expired are the last words of endpoints whose lease has ended, kept for a while:
+	// another replica may pass them on once more.
+	expired map[Name]record
 	// owners is set where an address belongs to the latest incarnation that
 	// announces it; incarnations are then comparable between endpoints.
 	owners map[string]Name
@@ -137,7 +140,7 @@
 
 // New returns an empty registry.
 func New(opts ...Option) *Registry {
-	r := &Registry{records: make(map[Name]record), lease: Lease}
+	r := &Registry{records: make(map[Name]record), expired: make(map[Name]record), lease: Lease}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -153,6 +156,8 @@
 	switch {
 	case known && !a.Newer(old.announcement):
 		return OutcomeStale
+	case !known && r.isExpired(a):
+		return OutcomeStale
 	case !known && len(r.records) >= MaxEndpoints:
 		return OutcomeFull
 	case !r.own(a):
@@ -165,6 +170,15 @@
 	return OutcomeChanged
 }
 
+// isExpired reports whether the announcement is one whose lease has ended.
+func (r *Registry) isExpired(a Announcement) bool {
+	last, ok := r.expired[a.Name]
+	return ok && !a.Newer(last.announcement)
+}
+
+// expiredKept is how many leases long an expired announcement is remembered.
+const expiredKept = 3
+
 // own gives the address to the endpoint, unless a later incarnation has it. A former
 // owner counts as gone.
 func (r *Registry) own(a Announcement) bool {
@@ -206,11 +220,17 @@
 			continue
 		}
 		delete(r.records, name)
+		r.expired[name] = record{rec.announcement, now.Add(expiredKept * r.lease)}
 		if r.owners != nil && r.owners[rec.announcement.Address] == name {
 			delete(r.owners, rec.announcement.Address)
 		}
 		expired = append(expired, rec.announcement)
 	}
+	for name, rec := range r.expired {
+		if !now.Before(rec.expires) {
+			delete(r.expired, name)
+		}
+	}
 	slices.SortFunc(expired, compare)
 	return expired
 }
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -231,9 +231,19 @@
 		return nil, err
 	}
 	r.resetElection(now)
+	r.hastenElection(now)
 	return r, nil
 }
 
+// firstElectionShare is the part of the usual election timeout after which a replica
+// that has just started campaigns: when all start together nobody leads, and where
+// somebody does, the others don't grant it a vote.
+const firstElectionShare = 3
+
+func (r *Replica) hastenElection(now time.Time) {
+	r.electAt = now.Add(r.electAt.Sub(now) / firstElectionShare)
+}
+
 // Bootstrap returns the disk of a new group with one voter.
 func Bootstrap(first Member) Stored {
 	first.Voter = true
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -28,6 +28,8 @@
 	// laggingSpread is the most that an entry waits to go on to another replica, as
 	// long as it has not met all of them.
 	laggingSpread = 50 * time.Millisecond
+	// laggingPause is how much longer it waits once it has.
+	laggingPause = 50 * time.Millisecond
 	// standingPatience is how long a replica may answer without giving standing
 	// before another is tried.
 	standingPatience = 1500 * time.Millisecond
@@ -380,8 +382,9 @@
 	s.do(Close{})
 	s.onClosed(now)
 	s.lagging++
-	if s.lagging < len(s.replicas) {
-		s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(laggingSpread))))
+	s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(laggingSpread))))
+	if s.lagging >= len(s.replicas) {
+		s.retryAt = s.retryAt.Add(laggingPause)
 	}
 }
 
--- a/shell/encoder/encoder.go
+++ b/shell/encoder/encoder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/messenger"
@@ -99,3 +100,18 @@
 	}
 	return converted
 }
+
+// EncodeAnnouncements returns the form in which endpoints are stored.
+func EncodeAnnouncements(list []registrar.Announcement) ([]byte, error) {
+	data, err := proto.Marshal(&wire.Announced{Announcements: each(list, encodeAnnouncement)})
+	return data, errors.Wrap(err, "encode endpoints")
+}
+
+// DecodeAnnouncements reads stored endpoints.
+func DecodeAnnouncements(data []byte) ([]registrar.Announcement, error) {
+	var announced wire.Announced
+	if err := proto.Unmarshal(data, &announced); err != nil {
+		return nil, errors.Wrap(err, "decode endpoints")
+	}
+	return each(announced.GetAnnouncements(), decodeAnnouncement), nil
+}
