--- a/core/balancer/pattern_test.go
+++ b/core/balancer/pattern_test.go
@@ -44,12 +44,11 @@
 }
 
 type machine struct {
-	name       string
-	slow       bool
-	paceUntil  time.Duration
-	running    int
-	waiting    []func()
-	lastChange time.Duration
+	name      string
+	slow      bool
+	paceUntil time.Duration
+	running   int
+	waiting   []func()
 }
 
 // world plays a pattern with real balancers.
@@ -60,7 +59,7 @@
 	machines []*machine
 	balancer []*Balancer
 	arrived  []map[CallID]time.Duration
-	running  []map[AttemptID]*work1
+	running  []map[AttemptID]*atWork
 	later    map[time.Duration][]func()
 	inTime   int
 	answered int
@@ -70,8 +69,8 @@
 	refusedLate int
 }
 
-// work1 is one attempt at a machine.
-type work1 struct{ cancelled bool }
+// atWork is one attempt at a machine.
+type atWork struct{ cancelled bool }
 
 var epoch = time.Unix(1_700_000_000, 0)
 
@@ -87,7 +86,7 @@
 			append([]Option{WithOutliving(), WithRand(rand.New(rand.NewPCG(uint64(i), 3))), WithBudget(retrier.NewBudget(18, retrier.WithBurst(2)))}, opts...)...)
 		w.balancer = append(w.balancer, b)
 		w.arrived = append(w.arrived, map[CallID]time.Duration{})
-		w.running = append(w.running, map[AttemptID]*work1{})
+		w.running = append(w.running, map[AttemptID]*atWork{})
 		w.handle(i, Reconfigured{Service: validator.Service{Name: "s", QueueLimit: 64, RetryPercent: 18}, Endpoints: w.list(), Entries: 1})
 	}
 	for w.now = 0; w.now < p.duration; w.now += step {
@@ -201,13 +200,13 @@
 
 func (w *world) send(i int, v Dispatch) {
 	m := w.find(v.Endpoint)
-	r := &work1{}
+	r := &atWork{}
 	w.running[i][v.Attempt] = r
 	w.after(step, func() { w.run(i, m, v, r) })
 }
 
 // run lets a machine work on an attempt once a slot is free.
-func (w *world) run(i int, m *machine, v Dispatch, r *work1) {
+func (w *world) run(i int, m *machine, v Dispatch, r *atWork) {
 	if m.running >= w.slots {
 		m.waiting = append(m.waiting, func() { w.run(i, m, v, r) })
 		return
