Let entries leave a dead replica for another one at once

Change: another replica is drawn at random and never the one just left; a stream opens within 0.5 s or not at all; silence counts after 1 s.

--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -160,6 +160,26 @@
 	assert.Equal(t, status.Members.Voters(), 5)
 }
 
+// TestEntriesGoOnAfterTheirReplicaDies kills the replica that all entries follow as a
+// document is accepted: it is in force at all of them soon, also with a second one dead.
+func TestEntriesGoOnAfterTheirReplicaDies(t *testing.T) {
+	s := ready(t, 5, 8)
+	for _, c := range s.controls[:2] {
+		if c != s.leader() {
+			s.crash(c)
+		}
+	}
+	dead := s.leader()
+	s.crash(dead)
+	s.run(1500 * time.Millisecond)
+	s.apply(s.leader(), document(1, "second"))
+	s.run(1500 * time.Millisecond)
+	for _, e := range s.entries {
+		revision, _ := e.machine.Revision()
+		assert.Equal(t, revision, uint64(2), e.name)
+	}
+}
+
 func TestColdEntryTakesNothingFromReplicaThatIsBehind(t *testing.T) {
 	s := ready(t, 3, 2)
 	behind := s.controls[0]
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -21,7 +21,7 @@
 	StandingLease = 2 * time.Second
 	// SilenceLimit is how long either end of a stream waits for a message before
 	// it takes the stream for lost.
-	SilenceLimit = 1200 * time.Millisecond
+	SilenceLimit = time.Second
 )
 
 // ToControl is a message of an entry to a replica.
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -25,6 +25,9 @@
 const (
 	reconnectMin = 100 * time.Millisecond
 	reconnectMax = 400 * time.Millisecond
+	// connectPatience is how long a replica may take to open a stream: some round trips
+	// between the farthest data centres.
+	connectPatience = 500 * time.Millisecond
 	// laggingSpread is the most that an entry waits to go on to another replica, as
 	// long as it has not met all of them.
 	laggingSpread = 50 * time.Millisecond
@@ -165,7 +168,8 @@
 	replicas []string
 	rand     *rand.Rand
 
-	next       int
+	// followed is the replica of the present stream, or of the last one.
+	followed   string
 	connecting bool
 	connected  bool
 	heardAt    time.Time
@@ -236,7 +240,6 @@
 		s.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	s.joinReplicas()
-	s.next = s.rand.IntN(max(1, len(replicas)))
 	return s
 }
 
@@ -315,15 +318,29 @@
 		s.onClosed(now)
 	case !s.connected && !s.connecting && !now.Before(s.retryAt) && len(s.replicas) > 0:
 		s.connecting = true
-		s.next = (s.next + 1) % len(s.replicas)
-		s.retryAt = now.Add(messenger.SilenceLimit)
-		s.do(Open{Address: s.replicas[s.next]})
+		s.followed = s.another()
+		s.retryAt = now.Add(connectPatience)
+		s.do(Open{Address: s.followed})
 	case s.connecting && !now.Before(s.retryAt):
 		s.do(Close{})
 		s.onClosed(now)
 	}
 }
 
+// another returns a replica at random, but not the one that was left just now.
+func (s *Subscriber) another() string {
+	choice := make([]string, 0, len(s.replicas))
+	for _, address := range s.replicas {
+		if address != s.followed {
+			choice = append(choice, address)
+		}
+	}
+	if len(choice) == 0 {
+		return s.followed
+	}
+	return choice[s.rand.IntN(len(choice))]
+}
+
 func (s *Subscriber) onOpened(now time.Time) {
 	s.connecting = false
 	s.connected = true
