--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
 )
 
@@ -223,3 +224,25 @@
 		assert.Equal(t, findFrame(data[whole:]), -1)
 	})
 }
+
+func TestEndpointsAreKeptUntilTheIdentityChanges(t *testing.T) {
+	folder := t.TempDir()
+	_, err := Identity(folder)
+	assert.NilError(t, err)
+	none, err := LoadEndpoints(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(none), 0)
+	list := []registrar.Announcement{{Name: registrar.Name{Service: "s", Endpoint: "e"}, Address: "127.0.0.1:1", State: registrar.StateServing, Incarnation: 3}}
+	assert.NilError(t, StoreEndpoints(folder, list))
+	got, err := LoadEndpoints(folder)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, list)
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, endpointsName), []byte("torn"), fileMode))
+	_, err = LoadEndpoints(folder)
+	assert.ErrorIs(t, err, ErrDamaged)
+	_, err = Identity(folder, "lost")
+	assert.NilError(t, err)
+	none, err = LoadEndpoints(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(none), 0)
+}
--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -71,6 +71,7 @@
 func (b *Balancer) deliver(now time.Time, a *attempt, v AnswerBegan) {
 	c := a.call
 	b.settle(c, claimer.Settle{Answer: v.Stored})
+	b.traceAnswered(now, c, a, v.Status)
 	if c.gone {
 		b.do(Cancel{Attempt: a.id})
 	} else {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -97,6 +97,7 @@
 	// samplingBudget bounds what sampling asks.
 	samplingBudget samplingBudget
 	work           work
+	traces         bool
 	// outlives is set for an entry that serves on without standing.
 	outlives  bool
 	prober    prober.Prober
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -74,6 +74,8 @@
 	endpoint *endpoint
 	start    time.Time
 	answered bool
+	// number counts the attempts of the call from 1.
+	number int
 	// estimate is how long it was to take, in usual times; zero when it is not known.
 	estimate float64
 }
@@ -208,6 +210,7 @@
 	}
 	c.phase = phaseRunning
 	c.made++
+	a.number = c.made
 	c.live = append(c.live, a.id)
 	c.tried = append(c.tried, e)
 	if c.made == 1 {
@@ -215,6 +218,7 @@
 		b.budget.First(now)
 		b.scheduleHedge(now, c)
 	}
+	b.traceSent(now, c, a)
 	b.do(Dispatch{
 		Call: c.ID, Attempt: a.id, Endpoint: e.name(), Address: e.Address,
 		Number: c.made, Deadline: c.Deadline, Connection: b.connection(c, e),
@@ -296,6 +300,7 @@
 		return
 	}
 	c.gone = true
+	b.traceAbandoned(now, c)
 	if c.Execution == router.OnceOnly && len(c.live) > 0 {
 		return
 	}
@@ -353,7 +358,7 @@
 		b.settle(c, claimer.Settle{Unknown: true})
 	}
 	b.giveUpClaim(c)
-	b.record(kind, c, nil, string(reason))
+	b.record(kind, c, nil, b.explain(now, c, reason))
 	if !c.gone {
 		b.do(Refuse{Call: c.ID, Outcome: outcome, Reason: reason, RetryAfter: b.retryAfter(now, c)})
 	}
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -180,6 +180,68 @@
 	}
 }
 
+// announced tells a replica what an endpoint says, and returns whether it was taken.
+func (s *system) announced(c *control, a registrar.Announcement) bool {
+	s.lastRequest++
+	before := len(s.taken)
+	s.handle(c, controller.Announce{Request: s.lastRequest, Announcement: a})
+	s.run(time.Second)
+	assert.Equal(s.t.(*testing.T), len(s.taken), before+1)
+	return s.taken[before]
+}
+
+// TestAcknowledgedDepartureCannotBeForgotten acknowledges that an endpoint leaves, and
+// starts all replicas anew at once: a late heartbeat does not bring it back.
+func TestAcknowledgedDepartureCannotBeForgotten(t *testing.T) {
+	a := registrar.Announcement{
+		Name: registrar.Name{Service: serviceName, Endpoint: "leaver"}, Address: "127.0.0.1:99", DataCentre: "dc", Slots: 4, Connections: 9,
+		State: registrar.StateServing, Incarnation: 7, Sequence: 1,
+	}
+	tests := []struct {
+		name    string
+		goodbye registrar.Announcement
+	}{
+		{"draining", registrar.Announcement{Name: a.Name, Address: a.Address, DataCentre: "dc", Slots: 4, State: registrar.StateDraining, Incarnation: 7, Sequence: 3}},
+		{"goodbye that says little", registrar.Announcement{Name: registrar.Name{Endpoint: "leaver"}, State: registrar.StateDraining, Gone: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := ready(t, 5, 2)
+			assert.Assert(t, s.announced(s.controls[3], a))
+			assert.Assert(t, s.announced(s.controls[1], tt.goodbye))
+			for _, c := range s.controls {
+				s.crash(c)
+				s.start(c)
+			}
+			s.run(3 * time.Second)
+			late := a
+			late.Sequence = 2
+			s.announced(s.controls[2], late)
+			for _, c := range s.controls {
+				for _, known := range c.machine.Status(s.now).Endpoints {
+					assert.Assert(t, known.Endpoint != "leaver" || known.Leaving(), c.name)
+				}
+			}
+		})
+	}
+}
+
+// TestCutOffReplicaTakesNoAnnouncement sends the endpoint to another replica.
+func TestCutOffReplicaTakesNoAnnouncement(t *testing.T) {
+	s := ready(t, 3, 1)
+	lost := s.controls[0]
+	s.isolate(lost.name, true)
+	s.run(2 * time.Second)
+	a := registrar.Announcement{
+		Name: registrar.Name{Service: serviceName, Endpoint: "x"}, Address: "127.0.0.1:99", DataCentre: "dc", Slots: 4, Connections: 9,
+		State: registrar.StateServing, Incarnation: 7, Sequence: 1,
+	}
+	assert.Assert(t, !s.announced(lost, a))
+	a.State = registrar.StateDraining
+	assert.Assert(t, !s.announced(lost, a))
+	assert.Assert(t, s.announced(s.leader(), a))
+}
+
 func TestColdEntryTakesNothingFromReplicaThatIsBehind(t *testing.T) {
 	s := ready(t, 3, 2)
 	behind := s.controls[0]
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -44,14 +44,16 @@
 	lastRequest uint64
 	applied     map[uint64]validator.Document
 	answers     []controller.AnswerApply
-	winners     map[uint64]string
-	verdicts    map[string]controller.AnswerApply
-	inForce     uint64
-	runs        map[string]int
-	callRuns    map[string]int
-	told        map[string]balancer.Outcome
-	answered    int
-	lastCall    int
+	// taken are the answers to announcements at control, in their order.
+	taken    []bool
+	winners  map[uint64]string
+	verdicts map[string]controller.AnswerApply
+	inForce  uint64
+	runs     map[string]int
+	callRuns map[string]int
+	told     map[string]balancer.Outcome
+	answered int
+	lastCall int
 }
 
 // delivery is something that happens at a node later.
@@ -290,6 +292,8 @@
 		*c.disk[v.Group] = v.Stored
 	case controller.AnswerApply:
 		s.onAnswer(v)
+	case controller.AnswerAnnounce:
+		s.taken = append(s.taken, v.Taken)
 	}
 }
 
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -60,3 +60,44 @@
 	}
 	assert.DeepEqual(t, paths, []string{"service", "endpoint", "address", "data-centre", "slots", "connections", "state", "incarnation"})
 }
+
+func owner(name string, incarnation uint64, address string) Announcement {
+	a := announcement(incarnation, 1, StateServing)
+	a.Endpoint = name
+	a.Address = address
+	return a
+}
+
+func TestAddressBelongsToTheLatestIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(WithAddressOwners(), WithLease(time.Second))
+	steps := []struct {
+		name    string
+		a       Announcement
+		want    Outcome
+		serving []string
+	}{
+		{"first", owner("a", 10, "x"), OutcomeChanged, []string{"a"}},
+		{"later process at the address", owner("b", 20, "x"), OutcomeChanged, []string{"b"}},
+		{"delayed word of the first", owner("a", 10, "x"), OutcomeStale, []string{"b"}},
+		{"unknown process that is older", owner("c", 15, "x"), OutcomeStale, []string{"b"}},
+		{"the first at another address", owner("a", 30, "y"), OutcomeChanged, []string{"a", "b"}},
+	}
+	for _, s := range steps {
+		assert.Equal(t, r.Announce(now, s.a), s.want, s.name)
+		var serving []string
+		for _, a := range r.List("") {
+			serving = append(serving, a.Endpoint)
+		}
+		assert.DeepEqual(t, serving, s.serving)
+	}
+}
+
+func TestExpiredAnnouncementIsNotPassedOnAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(WithLease(time.Second))
+	r.Announce(now, announcement(1, 5, StateServing))
+	assert.Equal(t, len(r.Expire(now.Add(time.Second))), 1)
+	assert.Equal(t, r.Announce(now.Add(time.Second), announcement(1, 5, StateServing)), OutcomeStale)
+	assert.Equal(t, r.Announce(now.Add(time.Second), announcement(1, 6, StateServing)), OutcomeChanged)
+}
--- a/core/retrier/retrier_test.go
+++ b/core/retrier/retrier_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"comfreyplank.org/core/router"
 )
 
 // TestRandomChainsDoNotMultiply sends calls down chains of up to seven levels, each
@@ -67,3 +69,21 @@
 	b.First(time.Unix(1000, 0))
 	assert.Assert(t, !b.Spend())
 }
+
+func TestBurstBoundsWhatIsSavedUp(t *testing.T) {
+	b := NewBudget(20, WithBurst(2))
+	for range 1000 {
+		b.First(time.Unix(1000, 0))
+	}
+	assert.Assert(t, b.Spend() && b.Spend())
+	assert.Assert(t, !b.Spend())
+}
+
+func TestRoutesBoundTheAttempts(t *testing.T) {
+	assert.Assert(t, MayRepeat(router.SingleAttempt, ProofNotRun, 1, 2, false))
+	assert.Assert(t, !MayRepeat(router.SingleAttempt, ProofNone, 1, 2, false))
+	assert.Assert(t, !MayRepeat(router.Repeatable, ProofNotRun, 2, 2, false))
+	assert.Assert(t, MayHedge(router.Repeatable, 1, 2, false))
+	assert.Assert(t, !MayHedge(router.Repeatable, 1, 1, false))
+	assert.Assert(t, !MayHedge(router.SingleAttempt, 1, 2, false))
+}
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -55,3 +55,15 @@
 		assert.Equal(t, m.Execution(tt.method), tt.want, "%s %s", tt.stated, tt.method)
 	}
 }
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	m := Match{Service: "a", Route: validator.Route{Split: []validator.Part{{Service: "a", Weight: 1}, {Service: "b", Weight: 0}, {Service: "c", Weight: 3}}}}
+	tests := []struct {
+		draw float64
+		want string
+	}{{0, "a"}, {0.249, "a"}, {0.25, "c"}, {0.999, "c"}}
+	for _, tt := range tests {
+		assert.Equal(t, m.Pick(tt.draw), tt.want)
+	}
+	assert.Equal(t, Match{Service: "a"}.Pick(0.5), "a")
+}
--- /dev/null
+++ b/core/subscriber/subscriber_test.go
@@ -0,0 +1,73 @@
+package subscriber
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/validator"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func serving(name string, gone bool) registrar.Announcement {
+	return registrar.Announcement{Name: registrar.Name{Service: "s", Endpoint: name}, State: registrar.StateServing, Incarnation: 1, Gone: gone}
+}
+
+func configured(opts ...Option) *Subscriber {
+	s := New(messenger.Hello{Entry: "e"}, []string{"r1", "r2"}, opts...)
+	s.Handle(epoch, Tick{})
+	s.Handle(epoch, Opened{})
+	s.Handle(epoch, Said{messenger.Configured{Revision: 1, Document: validator.Document{Services: []validator.Service{{Name: "s"}}}}})
+	return s
+}
+
+func names(s *Subscriber, now time.Time) []string {
+	var list []string
+	service, _ := s.document.Service("s")
+	for _, e := range s.endpoints(now, service) {
+		list = append(list, e.Endpoint)
+	}
+	return list
+}
+
+// TestEndpointsOutliveAReplicaThatForgot lists nothing but one goodbye: a replica that
+// started just now must not empty the entry.
+func TestEndpointsOutliveAReplicaThatForgot(t *testing.T) {
+	s := configured()
+	s.Handle(epoch, Said{messenger.Endpoints{Full: true, Changed: []registrar.Announcement{serving("a", false), serving("b", false), serving("c", false)}}})
+	gone := serving("b", true)
+	gone.Sequence = 1
+	s.Handle(epoch, Said{messenger.Endpoints{Full: true, Changed: []registrar.Announcement{gone}}})
+	assert.DeepEqual(t, names(s, epoch), []string{"a", "c"})
+	s.Handle(epoch.Add(time.Second), Said{messenger.Endpoints{Changed: []registrar.Announcement{serving("c", false)}}})
+	s.Handle(epoch.Add(registrar.Lease), Tick{})
+	assert.DeepEqual(t, names(s, epoch), []string{"c"})
+}
+
+func TestEntryFollowsReplicasThatControlNames(t *testing.T) {
+	tests := []struct {
+		name string
+		opts []Option
+		want []string
+	}{
+		{"by its settings only", nil, []string{"r1", "r2"}},
+		{"with discovery", []Option{WithDiscovery()}, []string{"r3", "r2", "r1"}},
+	}
+	for _, tt := range tests {
+		s := configured(tt.opts...)
+		s.Handle(epoch, Said{messenger.Replicas{Addresses: []string{"r3", "r2"}}})
+		assert.DeepEqual(t, s.replicas, tt.want)
+		s.Handle(epoch, Reseeded{Addresses: []string{"r9"}})
+		assert.Equal(t, s.replicas[len(s.replicas)-1], "r9", tt.name)
+	}
+}
+
+func TestDocumentGivesTheConnectionsThatAreNotAnnounced(t *testing.T) {
+	s := configured()
+	got := s.endpoint(epoch, validator.Service{Name: "s", Connections: 260}, serving("a", false))
+	assert.Equal(t, got.Connections, 260)
+}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/router"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
@@ -177,6 +178,7 @@
 	}
 	now := d.active.Load()
 	if now == nil {
+		d.around.Publish(recorder.Event{Kind: recorder.KindRefused, Request: said.ID, Detail: "no configuration yet"})
 		d.around.Callers.Refuse(w, translator.Refusal{
 			Status: http.StatusServiceUnavailable, Outcome: balancer.OutcomeNotRun,
 			Detail: "this instance has no configuration yet", Request: said.ID, RetryAfter: balancer.RetryAfter,
@@ -218,6 +220,7 @@
 }
 
 func (d *Dispatcher) refuse(w http.ResponseWriter, id string, status int, detail string) {
+	d.around.Publish(recorder.Event{Kind: recorder.KindRefused, Request: id, Detail: fmt.Sprintf("status %d: %s", status, detail)})
 	d.around.Callers.Refuse(w, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail, Request: id})
 }
 
