Draw whom to ask at random, and learn who is slower than it tells

Change: near endpoints are drawn at random, all once the near ones have no room; each answer, against its estimate, teaches a bias that fades in 3 s.

--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -18,8 +18,8 @@
 	latency := now.Sub(a.start)
 	b.reported(now, a.endpoint, v.Report, len(a.endpoint.flights)-1)
 	b.measure(now, a.endpoint, v.Report, latency)
-	if c := a.call; c != nil && !isFailure(v.Status) {
-		b.work.observe(c.Target, latency, a.estimate)
+	if !isFailure(v.Status) {
+		b.learn(now, a, latency)
 	}
 	if c := a.call; c != nil && b.retryStatus(now, c, a, v.Status) {
 		return
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -20,6 +20,8 @@
 	// ejectionBase is the first ejection; each one in a row is twice as long.
 	ejectionBase = time.Second
 	ejectionMax  = 30 * time.Second
+	// failureRatio is how much longer than estimated a failure counts as.
+	failureRatio = 3
 	// ejectedPart bounds the ejected endpoints to one in so many, so that a general
 	// failure ejects few.
 	ejectedPart = 3
@@ -223,6 +225,7 @@
 // failed takes note of a failure, and ejects the endpoint after several in a row.
 func (b *Balancer) failed(now time.Time, e *endpoint) {
 	b.picker.Failed(now, &b.candidates[e.at])
+	b.candidates[e.at].Learned(now, failureRatio)
 	e.failures++
 	again := e.ejected() && e.trial
 	e.trial = false
--- a/core/balancer/pattern_test.go
+++ b/core/balancer/pattern_test.go
@@ -25,8 +25,10 @@
 	// long a pace lasts.
 	slowShare, slowFactor float64
 	paceLife              time.Duration
-	target, deadline      time.Duration
-	duration              time.Duration
+	// hidden machines take slowFactor times as long all the time, and don't say so.
+	hidden           int
+	target, deadline time.Duration
+	duration         time.Duration
 }
 
 // shifting is the usual load: neighbours on the machines come and go.
@@ -44,6 +46,7 @@
 }
 
 type machine struct {
+	hidden    bool
 	name      string
 	slow      bool
 	paceUntil time.Duration
@@ -79,7 +82,7 @@
 func play(p pattern, opts ...Option) *world {
 	w := &world{pattern: p, rand: rand.New(rand.NewPCG(7, 11)), later: map[time.Duration][]func(){}}
 	for i := range p.endpoints {
-		w.machines = append(w.machines, &machine{name: fmt.Sprint("m", i), paceUntil: time.Duration(i) * p.paceLife / time.Duration(p.endpoints)})
+		w.machines = append(w.machines, &machine{name: fmt.Sprint("m", i), hidden: i < p.hidden, paceUntil: time.Duration(i) * p.paceLife / time.Duration(p.endpoints)})
 	}
 	for i := range p.entries {
 		b := New(fmt.Sprint("e", i), validator.Service{Name: "s", QueueLimit: 64, RetryPercent: 18},
@@ -217,6 +220,9 @@
 	}
 	m.running++
 	took := time.Duration(float64(w.work) * (0.7 + 0.6*w.rand.Float64()) * w.report(m).Pace)
+	if m.hidden {
+		took = time.Duration(float64(took) * w.slowFactor)
+	}
 	w.after(took, func() { w.end(i, m, v, EndingComplete, true) })
 }
 
@@ -251,6 +257,16 @@
 	assert.Assert(t, with.shareInTime() > without.shareInTime()+0.1)
 }
 
+// TestMachinesThatAreSlowAndDoNotSaySo asserts that entries learn from their answers
+// which endpoints take longer than they tell.
+func TestMachinesThatAreSlowAndDoNotSaySo(t *testing.T) {
+	p := shifting
+	p.hidden = 2
+	with := play(p, asking)
+	t.Logf("in time: %.3f", with.shareInTime())
+	assert.Assert(t, with.shareInTime() > 0.9) // 2 of 12 would be 0.83
+}
+
 // TestSurgeIsRefusedEarly asserts that in a surge calls are refused soon, rather than
 // all being late, and that more are answered in time than without.
 func TestSurgeIsRefusedEarly(t *testing.T) {
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -141,7 +141,7 @@
 		if now.Sub(e.saidAt) > rememberedFor || c.hasTried(e) || e.ejected() || !b.accepts(now, e) || !b.isFree(&s) {
 			continue
 		}
-		if estimate := b.estimate(&s); estimate < least {
+		if estimate := b.estimate(now, &s); estimate < least {
 			best = e
 			least = estimate
 		}
@@ -155,9 +155,9 @@
 }
 
 func (b *Balancer) pickUnasked(now time.Time, c *call) int {
-	return b.picker.Pick(now, b.candidates, func(i int) bool {
+	return b.picker.Draw(b.candidates, c.sampled, func(i int) bool {
 		e := b.endpoints[i]
-		return c.hasTried(e) || c.hasAsked(e) || e.ejected()
+		return c.hasTried(e) || c.hasAsked(e) || e.ejected() || b.picker.Straggles(now, &b.candidates[i])
 	})
 }
 
@@ -186,26 +186,26 @@
 			s.said = picker.Sample{Load: max(0, v.Report.Load), Pace: v.Report.Pace}
 		}
 	}
-	if b.sampledEnough(c) {
+	if b.sampledEnough(now, c) {
 		b.endSampling(now, c)
 	}
 }
 
 // sampledEnough reports whether all have answered, or one is as good as any can be.
-func (b *Balancer) sampledEnough(c *call) bool {
+func (b *Balancer) sampledEnough(now time.Time, c *call) bool {
 	all := true
 	for i := range c.samples {
 		s := &c.samples[i]
 		all = all && s.answered
-		if s.ok && picker.GoodEnough(b.estimate(s)) {
+		if s.ok && picker.GoodEnough(b.estimate(now, s)) {
 			return true
 		}
 	}
 	return all
 }
 
-func (b *Balancer) estimate(s *sample) float64 {
-	return b.candidates[s.endpoint.at].Estimate(s.said, s.endpoint.sent-s.sentBefore)
+func (b *Balancer) estimate(now time.Time, s *sample) float64 {
+	return b.candidates[s.endpoint.at].Estimate(now, s.said, s.endpoint.sent-s.sentBefore)
 }
 
 // endSampling sends the call to the best endpoint that has answered, lets it wait for
@@ -285,7 +285,7 @@
 		if !s.ok || s.endpoint.gone || !b.accepts(now, s.endpoint) || s.endpoint.ejected() {
 			continue
 		}
-		if estimate := b.estimate(s); estimate < least {
+		if estimate := b.estimate(now, s); estimate < least {
 			best = s
 			least = estimate
 		}
@@ -293,6 +293,20 @@
 	return best, least
 }
 
+// learn takes in how long an answer took that was estimated to take so many times the
+// usual.
+func (b *Balancer) learn(now time.Time, a *attempt, took time.Duration) {
+	c := a.call
+	if c == nil || c.Target == 0 || a.estimate <= 0 {
+		return
+	}
+	usual := scaled(took, 1/a.estimate)
+	if before := b.work.of(c.Target); before > 0 {
+		b.candidates[a.endpoint.at].Learned(now, float64(usual)/float64(before))
+	}
+	b.work.observe(c.Target, usual)
+}
+
 // work is how long the work of each kind of call takes by itself, told apart by their
 // targets.
 type work struct {
@@ -317,13 +331,8 @@
 	return 0
 }
 
-// observe takes in how long an answer took that was estimated to take so many times
-// the usual.
-func (w *work) observe(target, took time.Duration, estimate float64) {
-	if target == 0 || estimate <= 0 {
-		return
-	}
-	usual := scaled(took, 1/estimate)
+// observe takes in how long the work of an answer takes by itself.
+func (w *work) observe(target, usual time.Duration) {
 	for i := range w.kinds {
 		if w.kinds[i].target == target {
 			w.kinds[i].usual.observe(usual, medianTarget)
--- a/core/picker/fresh.go
+++ b/core/picker/fresh.go
@@ -17,6 +17,16 @@
 	// farFresh is what another data centre is charged: the way there and back, and
 	// traffic between data centres.
 	farFresh = 0.05
+	// nearWeight is how many times as often an endpoint of the own data centre is asked
+	// as one of another, as long as there is no need to look farther.
+	nearWeight = 20
+	// biasSmoothing is the weight of a new answer in what is learned of an endpoint, and
+	// biasLife the time in which that loses most of its weight.
+	biasSmoothing = 0.4
+	biasLife      = 3 * time.Second
+	// biasMin and biasMax bound it.
+	biasMin = 0.7
+	biasMax = 6
 	// goodEnough is the estimate below which the other answers are not awaited.
 	goodEnough = 1.1
 )
@@ -33,7 +43,7 @@
 // Estimate returns how long a request would take at the candidate, in typical
 // latencies, by what it said a moment ago. Sent is how many requests this entry has
 // sent there since.
-func (c *Candidate) Estimate(s Sample, sent int) float64 {
+func (c *Candidate) Estimate(now time.Time, s Sample, sent int) float64 {
 	load := float64(s.Load + sent)
 	slots := float64(c.Slots)
 	pace := s.Pace
@@ -44,16 +54,52 @@
 	if ahead := load + 1 - slots; ahead > 0 {
 		estimate += waitingCharge * math.Max(pace, 1) * ahead / slots
 	}
+	estimate *= c.Bias(now)
 	if c.Far {
 		estimate += farFresh
 	}
 	return estimate
 }
 
-// GoodEnough reports whether an estimate leaves little to gain from other endpoints.
-func GoodEnough(estimate float64) bool { return estimate <= goodEnough }
+// Learned takes in that an answer took so many times what it was estimated to take,
+// the bias of the time included.
+func (c *Candidate) Learned(now time.Time, ratio float64) {
+	bias := math.Log(c.Bias(now))
+	bias += biasSmoothing * math.Log(math.Max(ratio, 0.01))
+	c.bias = math.Min(math.Max(bias, math.Log(biasMin)), math.Log(biasMax))
+	c.biasAt = now
+}
+
+// Bias is how many times as long as it tells the endpoint takes: it may be slow, cold
+// or failing without saying so. It fades, so that the endpoint gets another chance.
+func (c *Candidate) Bias(now time.Time) float64 {
+	if c.biasAt.IsZero() {
+		return 1
+	}
+	return math.Exp(c.bias * math.Exp(-float64(now.Sub(c.biasAt))/float64(biasLife)))
+}
 
-// Sampled takes a fresh report into what is known of the candidate.
-func (c *Candidate) Sampled(now time.Time, s Sample, own int) {
-	c.Reported(now, s.Load, own)
+// Draw returns the position of a candidate at random, or None. Those of the own data
+// centre come more often, unless the draw is to go far. Positions for which skip returns
+// true are passed over.
+func (k *Picker) Draw(list []Candidate, far bool, skip func(int) bool) int {
+	chosen := None
+	sum := 0
+	for i := range list {
+		if !open(list, i, skip) {
+			continue
+		}
+		weight := 1
+		if !far && !list[i].Far {
+			weight = nearWeight
+		}
+		sum += weight
+		if k.rand.IntN(sum) < weight {
+			chosen = i
+		}
+	}
+	return chosen
 }
+
+// GoodEnough reports whether an estimate leaves little to gain from other endpoints.
+func GoodEnough(estimate float64) bool { return estimate <= goodEnough }
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -98,6 +98,9 @@
 	Latency time.Duration
 
 	latencyAt time.Time
+	// bias is the logarithm of what has been learned against the estimates.
+	bias   float64
+	biasAt time.Time
 	// others is the part of the latest report that is not our own work.
 	others   int
 	reportAt time.Time
