--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -77,6 +77,9 @@
 	return func(r *Runner) { r.follow = append(r.follow, opts...) }
 }
 
+// WithTimeLine sets how many events the time line keeps.
+func WithTimeLine(events int) Option { return func(r *Runner) { r.events = events } }
+
 // WithNarrator writes what the entry decides to a log.
 func WithNarrator(n *narrator.Narrator) Option { return func(r *Runner) { r.narrator = n } }
 
@@ -95,6 +98,7 @@
 	follow     []follower.Option
 	publisher  *publisher.Publisher
 	narrator   *narrator.Narrator
+	events     int
 	dispatcher *dispatcher.Dispatcher
 	follower   *follower.Follower
 	server     *server.Server
@@ -109,11 +113,12 @@
 		settings:  s,
 		change:    func(*dispatcher.Surroundings) {},
 		public:    func(s *server.Server, calls http.Handler) http.Handler { return s.Public(calls) },
-		publisher: publisher.New(s.Name, publisher.DefaultCapacity),
+		events:    publisher.DefaultCapacity,
 	}
 	for _, opt := range opts {
 		opt(i)
 	}
+	i.publisher = publisher.New(s.Name, i.events)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	around := dispatcher.Surroundings{
 		Now:     time.Now,
