--- a/control/driver/peers.go
+++ b/control/driver/peers.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/shell/connector"
 	"comfreyplank.org/shell/encoder"
 	"comfreyplank.org/shell/encoder/wire"
 )
@@ -80,7 +80,7 @@
 func (p *peers) exchange(address string, queue chan messenger.ToPeer) error {
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient(address, connector.Options()...)
 	if err != nil {
 		return err
 	}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/claimer"
@@ -18,6 +17,7 @@
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/subscriber"
 	"comfreyplank.org/entry/dispatcher"
+	"comfreyplank.org/shell/connector"
 	"comfreyplank.org/shell/encoder"
 	"comfreyplank.org/shell/encoder/wire"
 )
@@ -82,10 +82,7 @@
 		dispatcher: d,
 		ctx:        ctx,
 		group:      group,
-		options: []grpc.DialOption{
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-		},
+		options:    append(connector.Options(), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes))),
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -110,10 +110,10 @@
 // New returns an entry that is not running yet.
 func New(s Settings, opts ...Option) *Runner {
 	i := &Runner{
-		settings:  s,
-		change:    func(*dispatcher.Surroundings) {},
-		public:    func(s *server.Server, calls http.Handler) http.Handler { return s.Public(calls) },
-		events:    publisher.DefaultCapacity,
+		settings: s,
+		change:   func(*dispatcher.Surroundings) {},
+		public:   func(s *server.Server, calls http.Handler) http.Handler { return s.Public(calls) },
+		events:   publisher.DefaultCapacity,
 	}
 	for _, opt := range opts {
 		opt(i)
