Pass over endpoints that are silent or have lost their address

Change: a misdirected answer closes the endpoint; a call asks others, three rounds at most, before it goes by what was known.

--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"comfreyplank.org/core/claimer"
@@ -48,6 +49,9 @@
 	tried []*endpoint
 	// samples are the endpoints that were asked before the first attempt.
 	samples []sample
+	// silent are the endpoints that were asked and did not answer, in so many rounds.
+	silent []*endpoint
+	rounds int
 	// sampleDue is when the present wait for answers, or for better ones, ends.
 	sampleDue time.Time
 	// sampled is set once endpoints have been asked.
@@ -171,7 +175,10 @@
 // attempt sends the call to an endpoint that it has not tried, and reports
 // whether there was one.
 func (b *Balancer) attempt(now time.Time, c *call) bool {
-	i := b.pick(now, c)
+	i := b.pick(now, c, c.silent)
+	if i == picker.None {
+		i = b.pick(now, c, nil)
+	}
 	if i == picker.None {
 		return false
 	}
@@ -179,12 +186,12 @@
 	return true
 }
 
-// pick chooses an endpoint that the call may go to. A request that can't be
-// repeated is not used for the trial of an ejected endpoint.
-func (b *Balancer) pick(now time.Time, c *call) int {
+// pick chooses an endpoint that the call may go to, but none of those to avoid. A
+// request that can't be repeated is not used for the trial of an ejected endpoint.
+func (b *Balancer) pick(now time.Time, c *call, avoid []*endpoint) int {
 	return b.picker.Pick(now, b.candidates, func(i int) bool {
 		e := b.endpoints[i]
-		return c.hasTried(e) || (e.ejected() && c.Execution != router.Repeatable)
+		return c.hasTried(e) || slices.Contains(avoid, e) || (e.ejected() && c.Execution != router.Repeatable)
 	})
 }
 
@@ -282,7 +289,7 @@
 }
 
 // hasTarget reports whether another endpoint could take the call.
-func (b *Balancer) hasTarget(now time.Time, c *call) bool { return b.pick(now, c) != picker.None }
+func (b *Balancer) hasTarget(now time.Time, c *call) bool { return b.pick(now, c, nil) != picker.None }
 
 // doubt puts every connection that was open when the attempt began in doubt.
 func (b *Balancer) doubt(a *attempt) {
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -52,9 +52,7 @@
 		b.doubt(a)
 		b.failed(now, e)
 	case EndingMisdirected:
-		e.displaced = true
-		b.record(recorder.KindStopped, nil, e, "another endpoint has its address")
-		b.reviewOne(now, e.at, e)
+		b.displace(now, e)
 	case EndingCancelled:
 		e.trial = false
 		b.reviewOne(now, e.at, e)
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -242,6 +242,16 @@
 	b.record(recorder.KindEjected, nil, e, fmt.Sprintf("%d failures in a row, for %s", e.failures, wait))
 }
 
+// displace closes an endpoint at whose address another one has answered.
+func (b *Balancer) displace(now time.Time, e *endpoint) {
+	if e.displaced {
+		return
+	}
+	e.displaced = true
+	b.record(recorder.KindStopped, nil, e, "another endpoint has its address")
+	b.reviewOne(now, e.at, e)
+}
+
 func (b *Balancer) mayEject() bool {
 	ejected := 0
 	for _, e := range b.endpoints {
@@ -309,6 +319,9 @@
 }
 
 func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
+	if i := b.position(v.Endpoint); i >= 0 && v.Misdirected {
+		b.displace(now, b.endpoints[i])
+	}
 	if v.Call != 0 {
 		b.onSampled(now, v)
 		return
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -111,8 +111,10 @@
 	Call     CallID
 	Endpoint string
 	OK       bool
-	Took     time.Duration
-	Report   Report
+	// Misdirected is set when another endpoint answered at the address.
+	Misdirected bool
+	Took        time.Duration
+	Report      Report
 }
 
 // Tick lets time pass.
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"comfreyplank.org/core/picker"
@@ -157,10 +158,12 @@
 func (b *Balancer) pickUnasked(now time.Time, c *call) int {
 	return b.picker.Draw(b.candidates, c.sampled, func(i int) bool {
 		e := b.endpoints[i]
-		return c.hasTried(e) || c.hasAsked(e) || e.ejected() || b.picker.Straggles(now, &b.candidates[i])
+		return c.hasTried(e) || c.hasAsked(e) || c.wasSilent(e) || e.ejected() || b.picker.Straggles(now, &b.candidates[i])
 	})
 }
 
+func (c *call) wasSilent(e *endpoint) bool { return slices.Contains(c.silent, e) }
+
 func (c *call) hasAsked(e *endpoint) bool {
 	for i := range c.samples {
 		if c.samples[i].endpoint == e {
@@ -214,8 +217,7 @@
 	c.phase = phaseNew
 	best, estimate := b.bestSample(now, c)
 	if best == nil {
-		c.samples = nil
-		b.startAtOnce(now, c)
+		b.askOthers(now, c)
 		return
 	}
 	free := b.isFree(best)
@@ -235,6 +237,21 @@
 	}
 }
 
+// maxRounds bounds how often a call asks others when nobody has answered.
+const maxRounds = 3
+
+// askOthers passes over the endpoints that have not answered.
+func (b *Balancer) askOthers(now time.Time, c *call) {
+	for i := range c.samples {
+		c.silent = append(c.silent, c.samples[i].endpoint)
+	}
+	c.samples = nil
+	c.rounds++
+	if c.rounds >= maxRounds || !b.beginSampling(now, c) {
+		b.startAtOnce(now, c)
+	}
+}
+
 // meetsTarget reports whether the call would be answered within its target.
 func (b *Balancer) meetsTarget(now time.Time, c *call, estimate float64, free bool) bool {
 	work := b.work.of(c.Target)
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -243,10 +243,12 @@
 		ctx, cancel := context.WithDeadline(context.Background(), v.Deadline)
 		defer cancel()
 		start := l.around.Now()
-		report, ok := l.forwarder.Probe(ctx, v)
+		report, ending := l.forwarder.Probe(ctx, v)
 		took := l.around.Now().Sub(start)
 		l.around.Count.Probe(l.service, took)
-		l.handle(balancer.ProbeEnded{Call: v.Call, Endpoint: v.Endpoint, OK: ok, Took: took, Report: report})
+		l.handle(balancer.ProbeEnded{
+			Call: v.Call, Endpoint: v.Endpoint, OK: ending == balancer.EndingComplete,
+			Misdirected: ending == balancer.EndingMisdirected, Took: took, Report: report})
 	})
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -232,22 +232,22 @@
 	return bytes.NewReader(r.Body)
 }
 
-// Probe asks an endpoint for its load.
-func (f *Forwarder) Probe(ctx context.Context, v balancer.Probe) (balancer.Report, bool) {
+// Probe asks an endpoint for its load, and says how that ended.
+func (f *Forwarder) Probe(ctx context.Context, v balancer.Probe) (balancer.Report, balancer.Ending) {
 	p := f.pool(v.Address)
 	c, _, err := p.get(ctx, balancer.Connection{MaxQuiet: balancer.AnyQuiet, MaxOpen: 1})
 	if err != nil {
-		return balancer.NoReport, false
+		return balancer.NoReport, balancer.EndingNotSent
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Address+cmp.Or(v.Path, translator.ProbePath), nil)
 	if err != nil {
 		p.discard(c)
-		return balancer.NoReport, false
+		return balancer.NoReport, balancer.EndingNotSent
 	}
 	answer, err := f.converse(ctx, p, c, request, false)
 	if err != nil {
 		p.discard(c)
-		return balancer.NoReport, false
+		return balancer.NoReport, balancer.EndingLost
 	}
 	f.Finish(answer, answer.Whole)
 	return answer.Report, f.protocol.Probed(v.Endpoint, answer.Response)
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -39,9 +39,7 @@
 		Prepare: prepareNative,
 		Judge:   judgeNative,
 		Report:  func(h http.Header) balancer.Report { return ParseLoad(h.Get(LoadHeader)) },
-		Probed: func(_ string, answer *http.Response) bool {
-			return answer.StatusCode < http.StatusInternalServerError
-		},
+		Probed:  probedNative,
 	}
 }
 
@@ -101,6 +99,13 @@
 	return balancer.EndingComplete
 }
 
+func probedNative(_ string, answer *http.Response) balancer.Ending {
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return balancer.EndingRefused
+	}
+	return balancer.EndingComplete
+}
+
 // ParseLoad reads a load header such as "load=3, state=serving". What is missing
 // or wrong is unknown.
 func ParseLoad(value string) balancer.Report {
--- a/entry/translator/translator.go
+++ b/entry/translator/translator.go
@@ -63,7 +63,7 @@
 	Judge func(sent http.Header, answer *http.Response) balancer.Ending
 	// Report returns the load that came with an answer.
 	Report func(h http.Header) balancer.Report
-	// Probed says whether a probe was answered by the endpoint that was meant, and
-	// that it is well.
-	Probed func(endpoint string, answer *http.Response) bool
+	// Probed says what the answer to a probe means: balancer.EndingComplete when the
+	// endpoint that was meant is well.
+	Probed func(endpoint string, answer *http.Response) balancer.Ending
 }
