--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -175,6 +176,10 @@
 // attempt sends the call to an endpoint that it has not tried, and reports
 // whether there was one.
 func (b *Balancer) attempt(now time.Time, c *call) bool {
+	if e := b.roomiest(now, c, math.Inf(1)); e != nil {
+		b.dispatch(now, c, e)
+		return true
+	}
 	i := b.pick(now, c, c.silent)
 	if i == picker.None {
 		i = b.pick(now, c, nil)
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -124,7 +124,7 @@
 	if b.sampling.Endpoints == 0 {
 		return b.hasTarget(now, c) && b.budget.Spend() && b.attempt(now, c)
 	}
-	e := b.roomiest(now, c)
+	e := b.roomiest(now, c, hedgeEstimate)
 	if e == nil || !b.budget.Spend() {
 		return false
 	}
@@ -132,14 +132,17 @@
 	return true
 }
 
-// roomiest returns the endpoint that would take the call best by what is remembered,
-// if one has a free slot and is not slow.
-func (b *Balancer) roomiest(now time.Time, c *call) *endpoint {
+// roomiest returns the endpoint with a free slot that would answer the call first by
+// what is remembered, if that is below the most. Without sampling nothing is.
+func (b *Balancer) roomiest(now time.Time, c *call, most float64) *endpoint {
+	if b.sampling.Endpoints == 0 {
+		return nil
+	}
 	var best *endpoint
-	least := hedgeEstimate
+	least := most
 	for _, e := range b.endpoints {
 		s := sample{endpoint: e, sentBefore: e.sentWhenSaid, said: e.said}
-		if now.Sub(e.saidAt) > rememberedFor || c.hasTried(e) || e.ejected() || !b.accepts(now, e) || !b.isFree(&s) {
+		if now.Sub(e.saidAt) > rememberedFor || c.hasTried(e) || c.wasSilent(e) || e.ejected() || !b.accepts(now, e) || !b.isFree(&s) {
 			continue
 		}
 		if estimate := b.estimate(now, &s); estimate < least {
