--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -5,10 +5,30 @@
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 pids=()
+hold=
+
+# base is the first port of a range of 1,000 that nobody uses: a folder holds the range
+# against a demo that starts at the same time.
+taken() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+for base in $(seq 17000 1000 32000); do
+  mkdir "/tmp/comfreyplank-demo-$base" 2>/dev/null || continue
+  hold="/tmp/comfreyplank-demo-$base"
+  used=
+  for offset in 101 102 103 201 202 203 301 302 401 402 501 502 503 504 505 506; do
+    if taken $((base + offset)); then used=$((base + offset)); fi
+  done
+  [ -z "$used" ] && break
+  echo "port $used is taken; trying another range"
+  rmdir "$hold"
+  hold=
+done
+[ -n "$hold" ] || { echo "no free range of ports from 17000 to 32999; remove /tmp/comfreyplank-demo-* of demos that were killed"; exit 1; }
+
 cleanup() {
   for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
   for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
   rm -rf "$work"
+  rmdir "$hold"
 }
 trap cleanup EXIT
 
@@ -27,22 +47,22 @@
   [ "$status" = 200 ]
 ) 2>/dev/null
 
-peers=(--peer c1=127.0.0.1:17101 --peer c2=127.0.0.1:17102 --peer c3=127.0.0.1:17103)
+peers=(--peer c1=127.0.0.1:$((base + 101)) --peer c2=127.0.0.1:$((base + 102)) --peer c3=127.0.0.1:$((base + 103)))
 for i in 1 2 3; do
-  start "c$i" bin/control --name "c$i" --data "$work/c$i" --listen "127.0.0.1:1710$i" --admin "127.0.0.1:1720$i" "${peers[@]}"
+  start "c$i" bin/control --name "c$i" --data "$work/c$i" --listen "127.0.0.1:$((base + 100 + i))" --admin "127.0.0.1:$((base + 200 + i))" "${peers[@]}"
 done
-control=(--control 127.0.0.1:17101 --control 127.0.0.1:17102 --control 127.0.0.1:17103)
+control=(--control 127.0.0.1:$((base + 101)) --control 127.0.0.1:$((base + 102)) --control 127.0.0.1:$((base + 103)))
 for i in 1 2; do
-  start "e$i" bin/entry --name "e$i" --data-centre dc-1 --listen "127.0.0.1:1730$i" --admin "127.0.0.1:1740$i" --notice 1s "${control[@]}"
+  start "e$i" bin/entry --name "e$i" --data-centre dc-1 --listen "127.0.0.1:$((base + 300 + i))" --admin "127.0.0.1:$((base + 400 + i))" --notice 1s "${control[@]}"
 done
 endpoints=(1 2 3 4 5 6)
 for i in "${endpoints[@]}"; do
   : >"$work/runs$i"
-  start "s$i" bin/standin --service rounds --name "rounds-$i" --first "127.0.0.1:1750$i" --record "$work/runs$i" --entry 127.0.0.1:17301 --entry 127.0.0.1:17302
+  start "s$i" bin/standin --service rounds --name "rounds-$i" --first "127.0.0.1:$((base + 500 + i))" --record "$work/runs$i" --entry 127.0.0.1:$((base + 301)) --entry 127.0.0.1:$((base + 302))
 done
 records=()
 for i in "${endpoints[@]}"; do records+=(--record "$work/runs$i"); done
-ctl() { bin/ctl --control 127.0.0.1:17201 --control 127.0.0.1:17202 --control 127.0.0.1:17203 "$@"; }
+ctl() { bin/ctl --control 127.0.0.1:$((base + 201)) --control 127.0.0.1:$((base + 202)) --control 127.0.0.1:$((base + 203)) "$@"; }
 
 echo "== the first configuration"
 for _ in $(seq 100); do
@@ -51,13 +71,13 @@
 done
 cat "$work/apply"
 for i in 1 2; do
-  until ready "1730$i"; do sleep 0.1; done
+  until ready "$((base + 300 + i))"; do sleep 0.1; done
 done
 until [ "$(ctl status | grep -c ' serving ')" -ge "${#endpoints[@]}" ]; do sleep 0.1; done
 ctl status
 
 echo "== mixed load, while things happen"
-bin/bench load --target 127.0.0.1:17301 --target 127.0.0.1:17302 --rate 600 --once-percent 20 --duration 14s --warmup 1s \
+bin/bench load --target 127.0.0.1:$((base + 301)) --target 127.0.0.1:$((base + 302)) --rate 600 --once-percent 20 --duration 14s --warmup 1s \
   "${records[@]}" --max-refused-percent 1 >"$work/load" 2>&1 &
 load=$!
 pids+=("$load")
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -31,11 +31,13 @@
 	cancelled  []Cancel
 	claims     []ClaimKey
 	probes     []Probe
+	// single are the calls that may run on no more than one endpoint.
+	single map[CallID]bool
 }
 
 func newBench(endpoints, retryPercent int) *bench {
 	service := validator.Service{Name: "rounds", QueueLimit: 4, RetryPercent: retryPercent}
-	w := &bench{now: time.Unix(1_700_000_000, 0), service: service}
+	w := &bench{now: time.Unix(1_700_000_000, 0), service: service, single: map[CallID]bool{}}
 	w.Balancer = New("entry", service, WithRand(rand.New(rand.NewPCG(1, 1))))
 	for i := range endpoints {
 		w.endpoints = append(w.endpoints, Endpoint{Announcement: registrar.Announcement{
@@ -80,6 +82,7 @@
 
 func (w *bench) call(e router.Execution) CallID {
 	w.last++
+	w.single[w.last] = e == router.SingleAttempt
 	key := ""
 	if e == router.OnceOnly {
 		key = fmt.Sprint("key-", w.last)
@@ -383,6 +386,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newBench(rapid.IntRange(1, 5).Draw(rt, "endpoints"), rapid.SampledFrom([]int{0, 10, 100}).Draw(rt, "percent"))
 		ended := map[AttemptID]Ending{}
+		if rapid.Bool().Draw(rt, "sampling") {
+			w.sampling = Sampling{Endpoints: 2, Wait: 20 * time.Millisecond, PerSecond: 20}
+		}
 		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
 			w.randomStep(rt, ended)
 		}
@@ -406,7 +412,7 @@
 
 func (w *bench) randomStep(rt *rapid.T, ended map[AttemptID]Ending) {
 	open := slices.DeleteFunc(slices.Clone(w.dispatched), func(d Dispatch) bool { _, ok := ended[d.Attempt]; return ok })
-	switch rapid.IntRange(0, 7).Draw(rt, "event") {
+	switch rapid.IntRange(0, 9).Draw(rt, "event") {
 	case 0, 1:
 		w.call(rapid.SampledFrom([]router.Execution{router.Repeatable, router.SingleAttempt, router.OnceOnly}).Draw(rt, "execution"))
 	case 2:
@@ -431,6 +437,8 @@
 		i := rapid.IntRange(0, len(w.endpoints)-1).Draw(rt, "endpoint")
 		w.endpoints[i].State = rapid.SampledFrom([]registrar.State{registrar.StateServing, registrar.StateDraining}).Draw(rt, "state")
 		w.configure()
+	case 8, 9:
+		w.answerProbe(rt)
 	case 7:
 		if w.last > 0 {
 			w.do(CallerGone{Call: CallID(rapid.IntRange(1, int(w.last)).Draw(rt, "gone"))})
@@ -438,6 +446,20 @@
 	}
 }
 
+// answerProbe answers the oldest question in one of the ways in which it may end.
+func (w *bench) answerProbe(rt *rapid.T) {
+	if len(w.probes) == 0 {
+		return
+	}
+	p := w.probes[0]
+	w.probes = w.probes[1:]
+	ending := rapid.SampledFrom([]Ending{EndingComplete, EndingComplete, EndingLost, EndingMisdirected}).Draw(rt, "probe")
+	report := Report{Load: rapid.IntRange(0, 4).Draw(rt, "load"), Pace: rapid.SampledFrom([]float64{0, 1, 5}).Draw(rt, "pace")}
+	w.do(ProbeEnded{
+		Call: p.Call, Endpoint: p.Endpoint, OK: ending == EndingComplete, Misdirected: ending == EndingMisdirected, Report: report,
+	})
+}
+
 func (w *bench) decide(rt *rapid.T) {
 	c := w.claims[rapid.IntRange(0, len(w.claims)-1).Draw(rt, "claim")]
 	claim, ok := c.Command.(claimer.Claim)
@@ -476,6 +498,11 @@
 			rt.Fatalf("call %d ended %d times", id, n)
 		}
 	}
+	for id, n := range mayRun {
+		if w.single[id] && n > 1 {
+			rt.Fatalf("call %d that may run once may have run %d times", id, n)
+		}
+	}
 	for _, c := range w.claims {
 		if mayRun[c.Call] > 1 {
 			rt.Fatalf("once-only call %d may have run %d times", c.Call, mayRun[c.Call])
