Split the subscriber and the sampling by what they do

Change: endpoints and replicas in files of their own, the measured work of calls in work.go; code moved only.

--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"comfreyplank.org/core/balancer"
@@ -310,63 +309,6 @@
 	}
 }
 
-// keepStream leaves a replica that is silent or gives no standing for too long.
-func (s *Subscriber) keepStream(now time.Time) {
-	switch {
-	case s.connected && (now.Sub(s.heardAt) > messenger.SilenceLimit || now.Sub(s.followedAt) > standingPatience):
-		s.do(Close{})
-		s.onClosed(now)
-	case !s.connected && !s.connecting && !now.Before(s.retryAt) && len(s.replicas) > 0:
-		s.connecting = true
-		s.followed = s.another()
-		s.retryAt = now.Add(connectPatience)
-		s.do(Open{Address: s.followed})
-	case s.connecting && !now.Before(s.retryAt):
-		s.do(Close{})
-		s.onClosed(now)
-	}
-}
-
-// another returns a replica at random, but not the one that was left just now.
-func (s *Subscriber) another() string {
-	choice := make([]string, 0, len(s.replicas))
-	for _, address := range s.replicas {
-		if address != s.followed {
-			choice = append(choice, address)
-		}
-	}
-	if len(choice) == 0 {
-		return s.followed
-	}
-	return choice[s.rand.IntN(len(choice))]
-}
-
-func (s *Subscriber) onOpened(now time.Time) {
-	s.connecting = false
-	s.connected = true
-	s.heardAt = now
-	s.followedAt = now
-	hello := s.hello
-	hello.Revision = s.revision
-	s.do(Send{Message: hello})
-	if list := s.direct.List(""); len(list) > 0 {
-		s.do(Send{Message: messenger.Announced{Announcements: list}})
-	}
-	for _, c := range s.commands {
-		c.sentAt = time.Time{}
-	}
-	s.sendBeat(now)
-	s.resendCommands(now)
-}
-
-func (s *Subscriber) onClosed(now time.Time) {
-	s.connected = false
-	s.connecting = false
-	s.beats = nil
-	spread := s.rand.Int64N(int64(reconnectMax - reconnectMin))
-	s.retryAt = now.Add(reconnectMin + time.Duration(spread))
-}
-
 func (s *Subscriber) sendBeat(now time.Time) {
 	s.nextBeat = now.Add(messenger.BeatInterval)
 	s.sequence++
@@ -391,37 +333,6 @@
 	}
 }
 
-// onLagging leaves a replica that may be cut off, where there is another one.
-func (s *Subscriber) onLagging(now time.Time) {
-	if !s.connected || len(s.replicas) < 2 {
-		return
-	}
-	s.do(Close{})
-	s.onClosed(now)
-	s.lagging++
-	s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(laggingSpread))))
-	if s.lagging >= len(s.replicas) {
-		s.retryAt = s.retryAt.Add(laggingPause)
-	}
-}
-
-// onReplicas takes up where replicas are now. The present stream stays.
-func (s *Subscriber) onReplicas(addresses []string) {
-	if s.discovers && len(addresses) > 0 {
-		s.told = slices.Clone(addresses)
-		s.joinReplicas()
-	}
-}
-
-func (s *Subscriber) joinReplicas() {
-	s.replicas = slices.Clone(s.told)
-	for _, address := range s.seeds {
-		if !slices.Contains(s.replicas, address) {
-			s.replicas = append(s.replicas, address)
-		}
-	}
-}
-
 // onConfigured takes up a configuration, unless it is older than the one in force.
 func (s *Subscriber) onConfigured(now time.Time, v messenger.Configured) {
 	if s.configured && v.Revision < s.revision {
@@ -469,128 +380,3 @@
 	}
 	return time.Time{}, false
 }
-
-func (s *Subscriber) onAnnounced(now time.Time, a registrar.Announcement) {
-	outcome := s.direct.Announce(now, a)
-	if outcome == registrar.OutcomeStale || outcome == registrar.OutcomeFull {
-		return
-	}
-	s.heard[a.Name] = now
-	if s.connected {
-		s.do(Send{Message: messenger.Announced{Announcements: []registrar.Announcement{a}}})
-	}
-	if outcome == registrar.OutcomeChanged || !s.Standing(now) {
-		s.update(now, a.Service)
-	}
-}
-
-func (s *Subscriber) onEndpoints(now time.Time, v messenger.Endpoints) {
-	if v.Full {
-		s.startList(now)
-	}
-	services := make(map[string]bool)
-	for _, a := range v.Changed {
-		s.relayed[a.Name] = a
-		delete(s.unlisted, a.Name)
-		services[a.Service] = true
-	}
-	for _, name := range v.Removed {
-		delete(s.relayed, name)
-		delete(s.unlisted, name)
-		services[name.Service] = true
-	}
-	if v.Full {
-		s.updateAll(now)
-		return
-	}
-	for service := range services {
-		s.update(now, service)
-	}
-}
-
-// startList begins a new list of endpoints. Those of the former one stay for a lease
-// unless they are listed again: the replica may have started just now, and hear of
-// them with their next announcement.
-func (s *Subscriber) startList(now time.Time) {
-	for name := range s.relayed {
-		if _, ok := s.unlisted[name]; !ok {
-			s.unlisted[name] = now.Add(registrar.Lease)
-		}
-	}
-}
-
-func (s *Subscriber) dropUnlisted(now time.Time) {
-	for name, until := range s.unlisted {
-		if now.Before(until) {
-			continue
-		}
-		delete(s.unlisted, name)
-		delete(s.relayed, name)
-		s.update(now, name.Service)
-	}
-}
-
-func (s *Subscriber) forget(expired []registrar.Announcement) {
-	for _, a := range expired {
-		delete(s.heard, a.Name)
-	}
-}
-
-// updateAll brings every balancer up to date.
-func (s *Subscriber) updateAll(now time.Time) {
-	s.stopAt = time.Time{}
-	for _, stop := range s.document.Stops {
-		if stop.At.After(now) && (s.stopAt.IsZero() || stop.At.Before(s.stopAt)) {
-			s.stopAt = stop.At
-		}
-	}
-	for _, service := range s.document.Services {
-		s.update(now, service.Name)
-	}
-}
-
-func (s *Subscriber) update(now time.Time, name string) {
-	service, ok := s.document.Service(name)
-	if !ok {
-		return
-	}
-	s.do(Update{Service: name, Update: balancer.Reconfigured{
-		Service: service, Endpoints: s.endpoints(now, service), Entries: s.document.Entries,
-	}})
-}
-
-// endpoints joins what replicas relayed and what endpoints said to this entry;
-// the newer one counts.
-func (s *Subscriber) endpoints(now time.Time, service validator.Service) []balancer.Endpoint {
-	known := make(map[string]registrar.Announcement)
-	for name, a := range s.relayed {
-		if name.Service == service.Name {
-			known[name.Endpoint] = a
-		}
-	}
-	for _, a := range s.direct.All(service.Name) {
-		if old, ok := known[a.Endpoint]; !ok || a.Newer(old) {
-			known[a.Endpoint] = a
-		}
-	}
-	var list []balancer.Endpoint
-	for _, a := range known {
-		if !a.Gone && service.Admits(a.Endpoint) {
-			list = append(list, s.endpoint(now, service, a))
-		}
-	}
-	slices.SortFunc(list, func(a, b balancer.Endpoint) int { return strings.Compare(a.Endpoint, b.Endpoint) })
-	return list
-}
-
-func (s *Subscriber) endpoint(now time.Time, service validator.Service, a registrar.Announcement) balancer.Endpoint {
-	if service.Connections > 0 {
-		a.Connections = service.Connections
-	}
-	return balancer.Endpoint{
-		Announcement: a,
-		Stopped:      s.document.Stopped(a.Service, a.Endpoint, now),
-		Far:          a.DataCentre != s.hello.DataCentre,
-		Direct:       s.heard[a.Name],
-	}
-}
