--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -202,14 +202,16 @@
 	all := true
 	for i := range c.samples {
 		s := &c.samples[i]
-		all = all && s.answered
-		if s.ok && picker.GoodEnough(b.estimate(now, s)) {
+		all = all && (s.answered || s.endpoint.gone)
+		if s.ok && !s.endpoint.gone && picker.GoodEnough(b.estimate(now, s)) {
 			return true
 		}
 	}
 	return all
 }
 
+// estimate returns how long a call would take, in usual times. The endpoint must not be
+// gone.
 func (b *Balancer) estimate(now time.Time, s *sample) float64 {
 	return b.candidates[s.endpoint.at].Estimate(now, s.said, s.endpoint.sent-s.sentBefore)
 }
--- a/core/balancer/sampling_test.go
+++ b/core/balancer/sampling_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// TestEndpointThatGoesWhileItIsAsked removes the endpoints that a call has asked before
+// their answers come.
+func TestEndpointThatGoesWhileItIsAsked(t *testing.T) {
+	a := newAsker(t, 3)
+	asked := a.arrive(1, 0)
+	a.Handle(a.now, told(asked[0], 3, 5))
+	a.Handle(a.now, Reconfigured{Service: validator.Service{Name: "s", QueueLimit: 9}, Entries: 1})
+	assert.Equal(t, outcome(a.Handle(a.now, told(asked[1], 0, 1))), string(ReasonNoEndpoint))
+	assert.Equal(t, a.InFlight(), 0)
+}
+
 func TestRememberedAnswersStandInForQuestions(t *testing.T) {
 	a := newAsker(t, 3)
 	a.sampling.PerSecond = 2
