Let the random test take endpoints away while they are asked

Cause: the panic that reading found had passed 20,000 random checks. Change: a step that removes endpoints and brings them back.

--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -21,10 +21,12 @@
 // bench drives one balancer and collects what it does.
 type bench struct {
 	*Balancer
-	now        time.Time
-	last       CallID
-	service    validator.Service
-	endpoints  []Endpoint
+	now       time.Time
+	last      CallID
+	service   validator.Service
+	endpoints []Endpoint
+	// away are endpoints that nobody announces for now.
+	away       []Endpoint
 	dispatched []Dispatch
 	delivered  []Deliver
 	refused    []Refuse
@@ -412,7 +414,7 @@
 
 func (w *bench) randomStep(rt *rapid.T, ended map[AttemptID]Ending) {
 	open := slices.DeleteFunc(slices.Clone(w.dispatched), func(d Dispatch) bool { _, ok := ended[d.Attempt]; return ok })
-	switch rapid.IntRange(0, 9).Draw(rt, "event") {
+	switch rapid.IntRange(0, 10).Draw(rt, "event") {
 	case 0, 1:
 		w.call(rapid.SampledFrom([]router.Execution{router.Repeatable, router.SingleAttempt, router.OnceOnly}).Draw(rt, "execution"))
 	case 2:
@@ -439,6 +441,8 @@
 		w.configure()
 	case 8, 9:
 		w.answerProbe(rt)
+	case 10:
+		w.swapEndpoints(rt)
 	case 7:
 		if w.last > 0 {
 			w.do(CallerGone{Call: CallID(rapid.IntRange(1, int(w.last)).Draw(rt, "gone"))})
@@ -446,6 +450,15 @@
 	}
 }
 
+// swapEndpoints takes endpoints away, or brings them back.
+func (w *bench) swapEndpoints(rt *rapid.T) {
+	w.away, w.endpoints = append(w.away, w.endpoints[1:]...), w.endpoints[:1:1]
+	back := rapid.IntRange(0, len(w.away)).Draw(rt, "back")
+	w.endpoints = append(w.endpoints, w.away[:back]...)
+	w.away = w.away[back:]
+	w.configure()
+}
+
 // answerProbe answers the oldest question in one of the ways in which it may end.
 func (w *bench) answerProbe(rt *rapid.T) {
 	if len(w.probes) == 0 {
