--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -31,6 +31,7 @@
 // Driver runs one replica.
 type Driver struct {
 	publish  func(recorder.Event)
+	time     func(request string, took time.Duration)
 	clock    Clock
 	peers    *peers
 	journals map[messenger.Group]*worker
@@ -74,6 +75,7 @@
 type Option func(*options)
 
 type options struct {
+	time       func(request string, took time.Duration)
 	publish    func(recorder.Event)
 	controller []controller.Option
 }
@@ -88,6 +90,11 @@
 	return func(o *options) { o.controller = append(o.controller, opts...) }
 }
 
+// WithTimes sets who is told how long answers took.
+func WithTimes(time func(request string, took time.Duration)) Option {
+	return func(o *options) { o.time = time }
+}
+
 // WithPublish sets where events go.
 func WithPublish(publish func(recorder.Event)) Option {
 	return func(o *options) { o.publish = publish }
@@ -95,7 +102,7 @@
 
 // New opens the data folder and makes the machine of the replica.
 func New(group *sync.WaitGroup, clock Clock, folder, name, address string, opts ...Option) (*Driver, error) {
-	o := options{publish: func(recorder.Event) {}}
+	o := options{publish: func(recorder.Event) {}, time: func(string, time.Duration) {}}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -105,6 +112,7 @@
 	}
 	d := &Driver{
 		publish:   o.publish,
+		time:      o.time,
 		clock:     clock,
 		journals:  make(map[messenger.Group]*worker),
 		endpoints: make(chan []registrar.Announcement, 1),
@@ -365,7 +373,9 @@
 }
 
 // ask hands in a request under a new number, and waits for its answer.
-func ask[A any](ctx context.Context, d *Driver, waiting map[uint64]chan A, request func(number uint64) controller.Input) (A, error) {
+func ask[A any](ctx context.Context, d *Driver, name string, waiting map[uint64]chan A, request func(number uint64) controller.Input) (A, error) {
+	start := time.Now()
+	defer func() { d.time(name, time.Since(start)) }()
 	answers := make(chan A, 1)
 	d.mu.Lock()
 	d.lastRequest++
@@ -384,7 +394,7 @@
 // Apply makes a change and waits for what becomes of it. The request's number is set
 // here.
 func (d *Driver) Apply(ctx context.Context, change controller.Apply) (controller.AnswerApply, error) {
-	return ask(ctx, d, d.applies, func(number uint64) controller.Input {
+	return ask(ctx, d, "apply", d.applies, func(number uint64) controller.Input {
 		change.Request = number
 		return change
 	})
@@ -392,7 +402,7 @@
 
 // ReadDocument returns the configuration in force, confirmed by a majority.
 func (d *Driver) ReadDocument(ctx context.Context) (controller.AnswerDocument, error) {
-	return ask(ctx, d, d.documents, func(number uint64) controller.Input {
+	return ask(ctx, d, "read", d.documents, func(number uint64) controller.Input {
 		return controller.ReadDocument{Request: number}
 	})
 }
@@ -400,7 +410,7 @@
 // Announce takes in what an endpoint said to this replica, and reports whether it
 // can't be forgotten.
 func (d *Driver) Announce(ctx context.Context, a registrar.Announcement) (bool, error) {
-	answer, err := ask(ctx, d, d.announces, func(number uint64) controller.Input {
+	answer, err := ask(ctx, d, "announce", d.announces, func(number uint64) controller.Input {
 		return controller.Announce{Request: number, Announcement: a}
 	})
 	return answer.Taken, err
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -12,8 +12,10 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"comfreyplank.org/control/console"
+	"comfreyplank.org/control/counter"
 	"comfreyplank.org/control/driver"
 	"comfreyplank.org/control/operator"
 	"comfreyplank.org/control/server"
@@ -99,8 +101,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	events := publisher.New(s.Name, publisher.DefaultCapacity)
-	publish := r.publishTo(ctx, events)
-	set := append([]driver.Option{driver.WithPeers(s.Peers), driver.WithPublish(publish)}, r.options.driver...)
+	count := counter.New(prometheus.DefaultRegisterer)
+	publish := r.publishTo(ctx, events, count)
+	set := append([]driver.Option{driver.WithPeers(s.Peers), driver.WithPublish(publish), driver.WithTimes(count.Request)}, r.options.driver...)
 	d, err := driver.New(&r.group, events, s.Data, s.Name, s.Listen, set...)
 	if err != nil {
 		return err
@@ -137,18 +140,20 @@
 	return err
 }
 
-// publishTo returns where events go: to the time line, and to the log where it is
-// wanted.
-func (r *Runner) publishTo(ctx context.Context, events *publisher.Publisher) func(recorder.Event) {
+// publishTo returns where events go: to the time line and the metrics, and to the log
+// where it is wanted.
+func (r *Runner) publishTo(ctx context.Context, events *publisher.Publisher, count *counter.Counter) func(recorder.Event) {
 	n := r.options.narrator
-	if n == nil {
-		return func(e recorder.Event) { events.Publish(time.Now(), e) }
+	if n != nil {
+		r.group.Go(func() { n.Run(ctx) })
 	}
-	r.group.Go(func() { n.Run(ctx) })
 	return func(e recorder.Event) {
 		now := time.Now()
 		events.Publish(now, e)
-		n.Note(now, e)
+		count.Event(e.Kind)
+		if n != nil {
+			n.Note(now, e)
+		}
 	}
 }
 
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -17,6 +17,7 @@
 	refused  *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	probing  *prometheus.CounterVec
+	calls    *prometheus.HistogramVec
 }
 
 // New returns a counter whose metrics are registered.
@@ -35,7 +36,11 @@
 			Name: "comfreyplank_probe_seconds_total", Help: "Endpoint time spent on probes, by service.",
 		}, []string{"service"}),
 	}
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probing)
+	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"service", "result"})
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probing, c.calls)
 	return c
 }
 
@@ -44,6 +49,11 @@
 	c.attempts.WithLabelValues(service, strconv.Itoa(min(number, retrier.MaxAttempts))).Inc()
 }
 
+// Call times what became of a call.
+func (c *Counter) Call(service, result string, took time.Duration) {
+	c.calls.WithLabelValues(service, result).Observe(took.Seconds())
+}
+
 // Probe counts a probe and its time.
 func (c *Counter) Probe(service string, took time.Duration) {
 	c.probes.WithLabelValues(service).Inc()
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -225,6 +225,7 @@
 }
 
 func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, said translator.Request) {
+	arrived := d.around.Now()
 	service := match.Pick(rand.Float64())
 	l := d.lane(service)
 	call := balancer.Call{
@@ -242,7 +243,7 @@
 		d.around.Callers.Refuse(w, *problem)
 		return
 	}
-	waits := &waiting{request: request, verdicts: make(chan verdict, 1)}
+	waits := &waiting{request: request, arrived: arrived, verdicts: make(chan verdict, 1)}
 	call.ID = l.arrive(call, waits)
 	defer l.forget(call.ID)
 	select {
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -26,9 +26,10 @@
 
 type noCounter struct{}
 
-func (noCounter) Attempt(string, int)              {}
-func (noCounter) Probe(string, time.Duration)      {}
-func (noCounter) Refused(string, balancer.Outcome) {}
+func (noCounter) Attempt(string, int)                {}
+func (noCounter) Call(string, string, time.Duration) {}
+func (noCounter) Probe(string, time.Duration)        {}
+func (noCounter) Refused(string, balancer.Outcome)   {}
 
 // fixture is a dispatcher with real connections to endpoints of the test, and a
 // claims log in memory.
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -49,6 +49,7 @@
 // Counter counts what happens in a lane.
 type Counter interface {
 	Attempt(service string, number int)
+	Call(service, result string, took time.Duration)
 	Probe(service string, took time.Duration)
 	Refused(service string, outcome balancer.Outcome)
 }
@@ -63,6 +64,7 @@
 // waiting is a caller's handler and the request that it brought.
 type waiting struct {
 	request forwarder.Request
+	arrived time.Time
 	// verdicts gets exactly one.
 	verdicts chan verdict
 }
@@ -155,10 +157,22 @@
 
 func (l *lane) answerCall(id balancer.CallID, v verdict) {
 	if w, ok := l.calls[id]; ok {
+		l.around.Count.Call(l.service, v.result(), l.around.Now().Sub(w.arrived))
 		w.verdicts <- v
 	}
 }
 
+// result names a verdict for the metrics.
+func (v verdict) result() string {
+	switch {
+	case v.refuse != nil && v.refuse.Outcome == balancer.OutcomeNotRun:
+		return "not-run"
+	case v.refuse != nil:
+		return "unknown"
+	}
+	return "answered"
+}
+
 // claim leaves the lane's lock first: the claims log may answer at once.
 func (l *lane) claim(v balancer.ClaimKey) {
 	l.around.Start(func() { l.around.Claim(l.service, v.Call, v.Command) })
