--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -49,6 +49,15 @@
 	winners  map[uint64]string
 	verdicts map[string]controller.AnswerApply
 	inForce  uint64
+	// acknowledged is the highest generation that was acknowledged, accepted the content
+	// of each generation that was accepted, and reads what was acknowledged as each read
+	// began.
+	acknowledged uint64
+	accepted     map[uint64]int
+	reads        map[uint64]uint64
+	// leaving are departures by their requests, departed those that were acknowledged.
+	leaving  map[uint64]registrar.Announcement
+	departed []registrar.Announcement
 	runs     map[string]int
 	callRuns map[string]int
 	told     map[string]balancer.Outcome
@@ -110,6 +119,7 @@
 		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 7)), cut: map[[2]string]bool{},
 		applied: map[uint64]validator.Document{}, winners: map[uint64]string{}, verdicts: map[string]controller.AnswerApply{},
 		runs: map[string]int{}, callRuns: map[string]int{}, told: map[string]balancer.Outcome{},
+		accepted: map[uint64]int{}, reads: map[uint64]uint64{}, leaving: map[uint64]registrar.Announcement{},
 	}
 	for i := range controls {
 		s.controls = append(s.controls, &control{name: fmt.Sprint("c", i)})
@@ -292,7 +302,12 @@
 		*c.disk[v.Group] = v.Stored
 	case controller.AnswerApply:
 		s.onAnswer(v)
+	case controller.AnswerDocument:
+		s.onRead(v)
 	case controller.AnswerAnnounce:
+		if a, ok := s.leaving[v.Request]; ok && v.Taken {
+			s.departed = append(s.departed, a)
+		}
 		s.taken = append(s.taken, v.Taken)
 	}
 }
@@ -510,6 +525,10 @@
 func (s *system) onAnswer(v controller.AnswerApply) {
 	s.answers = append(s.answers, v)
 	doc := s.applied[v.Request]
+	if doc.Generation > 0 {
+		s.onGeneration(doc, v)
+		return
+	}
 	if v.Answer.Verdict == "" {
 		return
 	}
