--- a/core/balancer/pattern_test.go
+++ b/core/balancer/pattern_test.go
@@ -15,23 +15,23 @@
 )
 
 // pattern is a load on the endpoints of one service, in virtual time: entries that see
-// a dozen calls a second each, and machines whose pace changes several times a second.
+// a dozen calls a second each, and endpoints whose pace changes several times a second.
 type pattern struct {
 	entries, endpoints, slots int
 	// rate is in calls a second over all entries, and work their usual time.
 	rate float64
 	work time.Duration
-	// slowShare of the time a machine takes slowFactor times as long; paceLife is how
+	// slowShare of the time a endpoint takes slowFactor times as long; paceLife is how
 	// long a pace lasts.
 	slowShare, slowFactor float64
 	paceLife              time.Duration
-	// hidden machines take slowFactor times as long all the time, and don't say so.
+	// hidden endpoints take slowFactor times as long all the time, and don't say so.
 	hidden           int
 	target, deadline time.Duration
 	duration         time.Duration
 }
 
-// shifting is the usual load: neighbours on the machines come and go.
+// shifting is the usual load: neighbours on the endpoints come and go.
 var shifting = pattern{
 	entries: 16, endpoints: 12, slots: 6, rate: 110, work: 160 * time.Millisecond, slowShare: 0.25, slowFactor: 5,
 	paceLife: 150 * time.Millisecond, target: 400 * time.Millisecond, deadline: 1200 * time.Millisecond, duration: 20 * time.Second,
@@ -45,7 +45,7 @@
 	return p
 }
 
-type machine struct {
+type standIn struct {
 	hidden    bool
 	name      string
 	slow      bool
@@ -59,7 +59,7 @@
 	pattern
 	rand     *rand.Rand
 	now      time.Duration
-	machines []*machine
+	standIns []*standIn
 	balancer []*Balancer
 	arrived  []map[CallID]time.Duration
 	running  []map[AttemptID]*atWork
@@ -72,7 +72,7 @@
 	refusedLate int
 }
 
-// atWork is one attempt at a machine.
+// atWork is one attempt at a endpoint.
 type atWork struct{ cancelled bool }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -82,7 +82,7 @@
 func play(p pattern, opts ...Option) *world {
 	w := &world{pattern: p, rand: rand.New(rand.NewPCG(7, 11)), later: map[time.Duration][]func(){}}
 	for i := range p.endpoints {
-		w.machines = append(w.machines, &machine{name: fmt.Sprint("m", i), hidden: i < p.hidden, paceUntil: time.Duration(i) * p.paceLife / time.Duration(p.endpoints)})
+		w.standIns = append(w.standIns, &standIn{name: fmt.Sprint("m", i), hidden: i < p.hidden, paceUntil: time.Duration(i) * p.paceLife / time.Duration(p.endpoints)})
 	}
 	for i := range p.entries {
 		b := New(fmt.Sprint("e", i), validator.Service{Name: "s", QueueLimit: 64, RetryPercent: 18},
@@ -100,7 +100,7 @@
 
 func (w *world) list() []Endpoint {
 	var list []Endpoint
-	for _, m := range w.machines {
+	for _, m := range w.standIns {
 		list = append(list, Endpoint{Announcement: registrar.Announcement{
 			Name: registrar.Name{Service: "s", Endpoint: m.name}, Address: m.name, Slots: w.slots, Connections: 260,
 			State: registrar.StateServing, Incarnation: 1,
@@ -110,7 +110,7 @@
 }
 
 func (w *world) tick() {
-	for _, m := range w.machines {
+	for _, m := range w.standIns {
 		if w.now >= m.paceUntil {
 			m.slow = w.rand.Float64() < w.slowShare
 			m.paceUntil = w.now + w.paceLife
@@ -176,8 +176,8 @@
 	}
 }
 
-func (w *world) find(name string) *machine {
-	for _, m := range w.machines {
+func (w *world) find(name string) *standIn {
+	for _, m := range w.standIns {
 		if m.name == name {
 			return m
 		}
@@ -185,7 +185,7 @@
 	return nil
 }
 
-func (w *world) report(m *machine) Report {
+func (w *world) report(m *standIn) Report {
 	pace := 1.0
 	if m.slow {
 		pace = w.slowFactor
@@ -208,8 +208,8 @@
 	w.after(step, func() { w.run(i, m, v, r) })
 }
 
-// run lets a machine work on an attempt once a slot is free.
-func (w *world) run(i int, m *machine, v Dispatch, r *atWork) {
+// run lets a endpoint work on an attempt once a slot is free.
+func (w *world) run(i int, m *standIn, v Dispatch, r *atWork) {
 	if m.running >= w.slots {
 		m.waiting = append(m.waiting, func() { w.run(i, m, v, r) })
 		return
@@ -226,7 +226,7 @@
 	w.after(took, func() { w.end(i, m, v, EndingComplete, true) })
 }
 
-func (w *world) end(i int, m *machine, v Dispatch, ending Ending, ran bool) {
+func (w *world) end(i int, m *standIn, v Dispatch, ending Ending, ran bool) {
 	if ran {
 		m.running--
 	}
@@ -247,9 +247,9 @@
 
 var asking = WithSampling(Sampling{Endpoints: 3, Wait: 20 * time.Millisecond, PerSecond: 150})
 
-// TestMachinesThatShiftPace asserts that nearly all calls meet their target on machines
+// TestEndpointsThatShiftPace asserts that nearly all calls meet their target on endpoints
 // that are slow a quarter of the time, where reports of others come too late to help.
-func TestMachinesThatShiftPace(t *testing.T) {
+func TestEndpointsThatShiftPace(t *testing.T) {
 	without := play(shifting)
 	with := play(shifting, asking)
 	t.Logf("in time: %.3f without asking, %.3f with", without.shareInTime(), with.shareInTime())
@@ -257,9 +257,9 @@
 	assert.Assert(t, with.shareInTime() > without.shareInTime()+0.1)
 }
 
-// TestMachinesThatAreSlowAndDoNotSaySo asserts that entries learn from their answers
+// TestEndpointsThatAreSlowAndDoNotSaySo asserts that entries learn from their answers
 // which endpoints take longer than they tell.
-func TestMachinesThatAreSlowAndDoNotSaySo(t *testing.T) {
+func TestEndpointsThatAreSlowAndDoNotSaySo(t *testing.T) {
 	p := shifting
 	p.hidden = 2
 	with := play(p, asking)
