--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -200,7 +200,7 @@
 // exceeds returns the status for a request that is larger than callers may send,
 // or zero.
 func exceeds(r *http.Request, limits validator.Limits) (status int, detail string) {
-	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
+	if limits.MaxHeaderBytes > 0 && translator.HeaderBytes(r) > limits.MaxHeaderBytes {
 		return http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header is limited to %d bytes", limits.MaxHeaderBytes)
 	}
 	if limits.MaxBodyBytes > 0 && r.ContentLength > int64(limits.MaxBodyBytes) {
@@ -209,16 +209,6 @@
 	return 0, ""
 }
 
-func headerBytes(r *http.Request) int {
-	size := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return size
-}
-
 func (d *Dispatcher) refuse(w http.ResponseWriter, id string, status int, detail string) {
 	d.around.Publish(recorder.Event{Kind: recorder.KindRefused, Request: id, Detail: fmt.Sprintf("status %d: %s", status, detail)})
 	d.around.Callers.Refuse(w, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail, Request: id})
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -14,6 +14,7 @@
 
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/validator"
+	"comfreyplank.org/entry/translator"
 	"comfreyplank.org/shell/publisher"
 	"comfreyplank.org/shell/reporter"
 )
@@ -81,13 +82,7 @@
 // listener's own bound, far above, can only cut the connection.
 func boundHeader(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		size := len(r.RequestURI)
-		for name, values := range r.Header {
-			for _, value := range values {
-				size += len(name) + len(value)
-			}
-		}
-		if size > MaxHeaderBytes {
+		if translator.HeaderBytes(r) > MaxHeaderBytes {
 			problem := reporter.Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is limited to 64 KiB"}
 			problem.Write(w, reporter.OutcomeNotRun)
 			return
