Let entries begin with what a restarted replica knew was committed

Entries waited up to 0.5 s for replicas without power, and looked again with steps of 100 to 400 ms.

Change: a replica keeps how far the configuration log is committed; at a restart it applies that much before it hears a leader. With WithColdStart (the platform only) it gives that state to entries without any, in the first 5 s of its life and only until it has heard a majority. Standing and confirmed reads still need a majority. Entries look for replicas every 20 ms at first, wait 100 ms for a stream, and back off once all have been tried. Endpoints are sent before the document. An entry in its first second holds a call for up to 150 ms for its first document.

Ruled out: taking the document from the log's end, which may not be committed.

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -35,8 +35,9 @@
 	clock    Clock
 	peers    *peers
 	journals map[messenger.Group]*worker
-	// endpoints has the latest endpoints to store.
+	// endpoints and committed have the latest of each to store.
 	endpoints chan []registrar.Announcement
+	committed chan replicator.Position
 	folder    string
 	lock      *journaler.Lock
 	group     *sync.WaitGroup
@@ -116,6 +117,7 @@
 		clock:     clock,
 		journals:  make(map[messenger.Group]*worker),
 		endpoints: make(chan []registrar.Announcement, 1),
+		committed: make(chan replicator.Position, 1),
 		folder:    folder,
 		lock:      lock,
 		group:     group,
@@ -164,6 +166,9 @@
 	if disk.Endpoints, err = journaler.LoadEndpoints(folder); err != nil {
 		slog.Warn("the stored endpoints are not used", "error", err)
 	}
+	if disk.Config.Committed, err = journaler.LoadCommitted(folder); err != nil {
+		slog.Warn("what was committed before the start is not used", "error", err)
+	}
 	return disk, id, nil
 }
 
@@ -176,7 +181,7 @@
 	for _, w := range d.journals {
 		workers.Go(func() { d.work(ctx, w) })
 	}
-	workers.Go(func() { d.keepEndpoints(ctx) })
+	workers.Go(func() { d.keep(ctx) })
 	ticker := time.NewTicker(controller.TickInterval)
 	defer ticker.Stop()
 	err := d.tick(ctx, ticker)
@@ -229,7 +234,9 @@
 			d.documents[v.Request] <- v
 			delete(d.documents, v.Request)
 		case controller.StoreEndpoints:
-			d.offerEndpoints(v.Announcements)
+			offer(d.endpoints, v.Announcements)
+		case controller.StoreCommitted:
+			offer(d.committed, v.Position)
 		case controller.AnswerAnnounce:
 			d.announces[v.Request] <- v
 			delete(d.announces, v.Request)
@@ -263,18 +270,19 @@
 	}
 }
 
-// offerEndpoints replaces endpoints that wait to be stored.
-func (d *Driver) offerEndpoints(list []registrar.Announcement) {
+// offer replaces what waits to be stored. Only the holder of the lock offers, so there is
+// room for it.
+func offer[T any](to chan T, latest T) {
 	select {
-	case <-d.endpoints:
+	case <-to:
 	default:
 	}
-	d.endpoints <- list // there is room: only the holder of the lock offers
+	to <- latest
 }
 
-// keepEndpoints stores the endpoints as they change. What can't be written is left out:
-// endpoints announce themselves again.
-func (d *Driver) keepEndpoints(ctx context.Context) {
+// keep stores the endpoints and what is committed as they change. What can't be written
+// is left out: it only makes the next start quicker.
+func (d *Driver) keep(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -283,6 +291,10 @@
 			if err := journaler.StoreEndpoints(d.folder, list); err != nil {
 				slog.Warn("the endpoints were not stored", "error", err)
 			}
+		case p := <-d.committed:
+			if err := journaler.StoreCommitted(d.folder, p); err != nil {
+				slog.Warn("what is committed was not stored", "error", err)
+			}
 		}
 	}
 }
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -63,8 +63,10 @@
 			return "", errors.Wrap(err, "remove former journal")
 		}
 	}
-	if err := os.RemoveAll(filepath.Join(folder, endpointsName)); err != nil {
-		return "", errors.Wrap(err, "remove former endpoints")
+	for _, name := range []string{endpointsName, committedName} {
+		if err := os.RemoveAll(filepath.Join(folder, name)); err != nil {
+			return "", errors.Wrapf(err, "remove former %s", name)
+		}
 	}
 	id := uuid.NewString()
 	framed, err := frame([]byte(id))
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -246,3 +246,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(none), 0)
 }
+
+func TestCommittedIsKeptUntilTheIdentityChanges(t *testing.T) {
+	folder := t.TempDir()
+	_, err := Identity(folder)
+	assert.NilError(t, err)
+	none, err := LoadCommitted(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, none, replicator.Position{})
+	position := replicator.Position{Index: 7, Term: 3}
+	assert.NilError(t, StoreCommitted(folder, position))
+	got, err := LoadCommitted(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, got, position)
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, committedName), []byte("torn"), fileMode))
+	_, err = LoadCommitted(folder)
+	assert.ErrorIs(t, err, ErrDamaged)
+	_, err = Identity(folder, "lost")
+	assert.NilError(t, err)
+	none, err = LoadCommitted(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, none, replicator.Position{})
+}
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -34,7 +34,10 @@
 	presenceInterval = 500 * time.Millisecond
 	advanceInterval  = 30 * time.Second
 	storeInterval    = time.Second
-	shareInterval    = 2 * time.Second
+	// coldStartTime is how long after its start a replica may give what it knew: some
+	// times what all replicas need to start and elect a leader.
+	coldStartTime = 5 * time.Second
+	shareInterval = 2 * time.Second
 )
 
 // Log lengths at which a snapshot replaces the log.
@@ -155,6 +158,12 @@
 	Announcements []registrar.Announcement
 }
 
+// StoreCommitted keeps how far the configuration log is known to be committed, so that
+// a replica that starts again knows its state before it hears a leader. It may be lost.
+type StoreCommitted struct {
+	Position replicator.Position
+}
+
 // AnswerApply answers an Apply.
 type AnswerApply struct {
 	Request  uint64
@@ -187,6 +196,7 @@
 
 func (AnswerAnnounce) action() {}
 func (StoreEndpoints) action() {}
+func (StoreCommitted) action() {}
 func (SendPeer) action()       {}
 func (SendEntry) action()      {}
 func (Persist) action()        {}
@@ -223,6 +233,10 @@
 	peers []replicator.Member
 	// joins is set for a replica that may not found the system.
 	joins bool
+	// coldStart is set where entries may begin with what a replica knew at its start.
+	coldStart bool
+	// heardMajority is set once this process has heard a majority; it stays set.
+	heardMajority bool
 	// size is how many voters the system has; zero keeps all that ever joined.
 	size    int
 	run     uint64
@@ -266,7 +280,9 @@
 	// whether they have changed since.
 	nextStore    time.Time
 	storedDigest uint64
-	lastAdvance  time.Time
+	// storedIndex is the index of the last StoreCommitted.
+	storedIndex uint64
+	lastAdvance time.Time
 
 	actions []Action
 }
@@ -296,6 +312,13 @@
 	return func(c *Controller) { c.joins = true }
 }
 
+// WithColdStart lets a replica that has started just now give entries without a
+// configuration the last one that it knows was accepted, before a majority is there to
+// confirm it. It may be behind, but never ahead.
+func WithColdStart() Option {
+	return func(c *Controller) { c.coldStart = true }
+}
+
 // WithSize sets how many voters the system has. A replica at another place takes
 // over from one that has been silent for long, once there are more.
 func WithSize(voters int) Option {
@@ -343,6 +366,7 @@
 	if err := c.load(now, disk); err != nil {
 		return nil, err
 	}
+	c.pump(now) // what was committed before the start
 	c.takeIn(now, disk.Endpoints)
 	c.relist(now)
 	c.news = messenger.EndpointNews{} // the others know these
@@ -432,7 +456,7 @@
 	c.updateInForce(now)
 	c.answerApplies(now)
 	c.answerDepartures(now)
-	c.storeEndpoints(now)
+	c.store(now)
 }
 
 func (c *Controller) handOver(now time.Time) {
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -264,6 +264,61 @@
 	assert.Assert(t, !e.machine.Standing(s.now))
 }
 
+// restartSome kills all, and starts all entries and the first replicas.
+func (s *system) restartSome(replicas int) {
+	s.run(2 * time.Second) // what was stored is on the disks
+	for _, c := range s.controls {
+		s.crash(c)
+	}
+	for _, e := range s.entries {
+		s.crashEntry(e)
+	}
+	s.run(time.Second)
+	for _, c := range s.controls[:replicas] {
+		s.start(c)
+	}
+	for _, e := range s.entries {
+		s.startEntry(e)
+	}
+}
+
+// TestEntriesBeginBeforeALeaderIsThere kills all processes; two of five replicas come
+// back, which can't elect a leader.
+func TestEntriesBeginBeforeALeaderIsThere(t *testing.T) {
+	tests := []struct {
+		name string
+		cold bool
+		want uint64
+	}{
+		{"with what a replica knew", true, 1},
+		{"by default only with a majority", false, 0},
+	}
+	for _, tt := range tests {
+		s := ready(t, 5, 4)
+		s.cold = tt.cold
+		s.restartSome(2)
+		s.run(time.Second)
+		assert.Assert(t, s.leader() == nil, tt.name)
+		for _, e := range s.entries {
+			assert.Equal(t, e.revision, tt.want, tt.name)
+			assert.Assert(t, !e.machine.Standing(s.now), tt.name)
+		}
+	}
+}
+
+// TestReplicaThatStartedLongAgoGivesNoColdStart leaves a replica alone for longer than
+// the others need to start: what it knows may be far behind by then.
+func TestReplicaThatStartedLongAgoGivesNoColdStart(t *testing.T) {
+	s := ready(t, 5, 1)
+	s.cold = true
+	s.restartSome(2)
+	s.crashEntry(s.entries[0])
+	s.run(6 * time.Second)
+	s.startEntry(s.entries[0])
+	s.run(time.Second)
+	assert.Equal(t, s.entries[0].revision, uint64(0))
+}
+
 func TestLosingAReplicaRightAfterARepairLosesNothing(t *testing.T) {
 	s := ready(t, 3, 2)
 	wiped := s.controls[0]
@@ -360,6 +415,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSystem(rt, rapid.SampledFrom([]int{3, 3, 5}).Draw(rt, "controls"), 3, rapid.Uint64().Draw(rt, "seed"))
 		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(rt, "loss")
+		s.cold = rapid.Bool().Draw(rt, "cold")
 		s.run(4 * time.Second)
 		for i := range rapid.IntRange(5, 40).Draw(rt, "steps") {
 			s.disturb(rt, i)
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -83,12 +83,29 @@
 	c.registry.Announce(now, a)
 }
 
-// storeEndpoints keeps the endpoints when they have changed.
-func (c *Controller) storeEndpoints(now time.Time) {
+// store keeps what helps a replica that starts again, when it has changed.
+func (c *Controller) store(now time.Time) {
 	if now.Before(c.nextStore) {
 		return
 	}
 	c.nextStore = now.Add(storeInterval)
+	c.storeCommitted()
+	c.storeEndpoints()
+}
+
+// storeCommitted keeps how far the state goes: the state includes only what is committed
+// and on the own disk.
+func (c *Controller) storeCommitted() {
+	if c.config.applied == c.storedIndex {
+		return
+	}
+	if p, ok := c.config.replica.Position(c.config.applied); ok {
+		c.storedIndex = c.config.applied
+		c.do(StoreCommitted{Position: p})
+	}
+}
+
+func (c *Controller) storeEndpoints() {
 	digest := c.registryDigest()
 	if digest == c.storedDigest {
 		return
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -31,6 +31,7 @@
 	if v, ok := m.(messenger.Hello); ok {
 		c.entries[conn] = &entry{hello: v, revision: v.Revision}
 		c.record(recorder.Event{Kind: recorder.KindEntryJoined, Detail: v.Entry})
+		c.startCold(now, conn, v)
 		if !c.hearsMajority(now) {
 			c.do(SendEntry{Conn: conn, Message: messenger.Lagging{}})
 		}
@@ -51,9 +52,20 @@
 	}
 }
 
+// startCold gives an entry without a configuration what this replica knew when it
+// started. It holds while no majority can have been heard yet: a replica that has lost
+// one may be far behind.
+func (c *Controller) startCold(now time.Time, conn Conn, hello messenger.Hello) {
+	if !c.coldStart || c.heardMajority || hello.Revision > 0 || c.committer.Revision() == 0 || now.Sub(c.started) > coldStartTime {
+		return
+	}
+	c.sendState(conn)
+}
+
 // noteLagging sends the entries of a replica that has lost its majority to others.
 func (c *Controller) noteLagging(now time.Time) {
 	lagging := !c.hearsMajority(now)
+	c.heardMajority = c.heardMajority || !lagging
 	if lagging == c.lagging {
 		return
 	}
@@ -81,9 +93,15 @@
 		return
 	}
 	e.confirmed = true
-	c.sendConfig(conn)
+	c.sendState(conn)
+}
+
+// sendState sends an entry all that it needs to begin: the endpoints first, so that it
+// knows them as it takes up the configuration.
+func (c *Controller) sendState(conn Conn) {
 	// Goodbyes are listed too: the entry may know endpoints that left meanwhile.
 	c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Full: true, Changed: c.registry.All("")}})
+	c.sendConfig(conn)
 	c.do(SendEntry{Conn: conn, Message: c.replicas()})
 }
 
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -34,7 +34,9 @@
 	rand     *rand.Rand
 	controls []*control
 	// seeds is how many replicas each one is told of at its start; zero tells of all.
-	seeds    int
+	seeds int
+	// cold lets replicas that start give entries what they knew.
+	cold     bool
 	entries  []*entry
 	backends []*backend
 	cut      map[[2]string]bool
@@ -78,8 +80,10 @@
 	id      replicator.ID
 	machine *controller.Controller
 	disk    map[messenger.Group]*replicator.Stored
-	up      bool
-	run     int
+	// endpoints are those that were stored last.
+	endpoints []registrar.Announcement
+	up        bool
+	run       int
 }
 
 // entry is an entry with the balancer of the one service.
@@ -155,6 +159,7 @@
 func (s *system) wipe(c *control) {
 	c.id = replicator.ID(fmt.Sprintf("%s/%d", c.name, s.rand.Uint32()))
 	c.disk = map[messenger.Group]*replicator.Stored{messenger.GroupConfig: {}, messenger.GroupClaims: {}}
+	c.endpoints = nil
 }
 
 func (s *system) start(c *control) {
@@ -165,7 +170,12 @@
 	disk.Config.Entries = slices.Clone(disk.Config.Entries)
 	disk.Claims.Entries = slices.Clone(disk.Claims.Entries)
 	var err error
-	c.machine, err = controller.New(s.now, self, disk, controller.WithPeers(s.peers()), controller.WithRand(s.source()))
+	opts := []controller.Option{controller.WithPeers(s.peers()), controller.WithRand(s.source())}
+	if s.cold {
+		opts = append(opts, controller.WithColdStart())
+	}
+	disk.Endpoints = c.endpoints
+	c.machine, err = controller.New(s.now, self, disk, opts...)
 	if err != nil {
 		s.t.Fatalf("%v", err)
 	}
@@ -300,6 +310,10 @@
 		disk.Entries = slices.Clone(v.Rest)
 	case controller.Found:
 		*c.disk[v.Group] = v.Stored
+	case controller.StoreCommitted:
+		c.disk[messenger.GroupConfig].Committed = v.Position
+	case controller.StoreEndpoints:
+		c.endpoints = v.Announcements
 	case controller.AnswerApply:
 		s.onAnswer(v)
 	case controller.AnswerDocument:
--- a/core/replicator/log.go
+++ b/core/replicator/log.go
@@ -24,6 +24,11 @@
 	Data        []byte
 }
 
+// Position names an entry of the log.
+type Position struct {
+	Index, Term uint64
+}
+
 // log is the part of the log that is held in memory, after a snapshot.
 type log struct {
 	// base is the entry before the first; it is covered by the snapshot.
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -99,6 +99,9 @@
 	Snapshot Snapshot
 	// Entries follow the snapshot without gaps.
 	Entries []Entry
+	// Committed was known to be committed before the replica stopped; zero when that is
+	// not known. It may be behind, and the log may lack it.
+	Committed Position
 }
 
 // Replica is one replica of a group. It is not safe for concurrent use.
@@ -230,11 +233,20 @@
 	if err := r.adoptMembership(stored.Entries); err != nil {
 		return nil, err
 	}
+	r.commitStored(stored.Committed)
 	r.resetElection(now)
 	r.hastenElection(now)
 	return r, nil
 }
 
+// commitStored takes up what was committed before the start. What is committed is never
+// replaced, so it holds before a leader is known.
+func (r *Replica) commitStored(p Position) {
+	if term, ok := r.log.term(p.Index); ok && term == p.Term {
+		r.commit = max(r.commit, p.Index)
+	}
+}
+
 // hastenElection lets a replica that knows of no leader campaign early: after its own
 // start, or a campaign that nobody won. Where there is a leader the others don't grant
 // it a vote. The wide spread keeps replicas that start together apart.
@@ -270,6 +282,12 @@
 // Commit returns the last index known to be committed.
 func (r *Replica) Commit() uint64 { return r.commit }
 
+// Position returns the entry at an index, if the log still knows it.
+func (r *Replica) Position(index uint64) (Position, bool) {
+	term, ok := r.log.term(index)
+	return Position{Index: index, Term: term}, ok
+}
+
 // LastIndex returns the last index of the log.
 func (r *Replica) LastIndex() uint64 { return r.log.lastIndex() }
 
--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -107,6 +107,10 @@
 }
 
 func (w *network) apply(n *node, out Output) {
+	if last := len(out.Committed); last > 0 {
+		e := out.Committed[last-1]
+		n.disk.Committed = Position{Index: e.Index, Term: e.Term}
+	}
 	for _, e := range out.Committed {
 		position := int(e.Index) - 2
 		if position < len(w.committed) {
@@ -410,3 +414,25 @@
 		}
 	}
 }
+
+func TestReplicaKnowsAfterARestartWhatWasCommitted(t *testing.T) {
+	entries := []Entry{{Index: 2, Term: 1, Kind: EntryCommand}, {Index: 3, Term: 2, Kind: EntryCommand}}
+	tests := []struct {
+		name      string
+		committed Position
+		want      uint64
+	}{
+		{"nothing was stored", Position{}, 1},
+		{"a part of the log", Position{Index: 2, Term: 1}, 2},
+		{"all of the log", Position{Index: 3, Term: 2}, 3},
+		{"an entry that the disk has lost", Position{Index: 4, Term: 2}, 1},
+		{"an entry of another term", Position{Index: 3, Term: 1}, 1},
+	}
+	for _, tt := range tests {
+		members := Membership{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+		r, err := New(time.Unix(1000, 0), "a", Stored{Snapshot: Snapshot{Index: 1, Term: 1, Members: members}, Entries: slices.Clone(entries), Committed: tt.committed})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Commit(), tt.want, tt.name)
+		assert.Equal(t, len(r.Take().Committed), int(tt.want-1), tt.name)
+	}
+}
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -16,7 +16,7 @@
 	case !s.connected && !s.connecting && !now.Before(s.retryAt) && len(s.replicas) > 0:
 		s.connecting = true
 		s.followed = s.another()
-		s.retryAt = now.Add(connectPatience)
+		s.retryAt = now.Add(s.backoff(connectMin, connectMax))
 		s.do(Open{Address: s.followed})
 	case s.connecting && !now.Before(s.retryAt):
 		s.do(Close{})
@@ -56,12 +56,27 @@
 	s.resendCommands(now)
 }
 
-func (s *Subscriber) onClosed(now time.Time) {
+func (s *Subscriber) disconnect() {
 	s.connected = false
 	s.connecting = false
 	s.beats = nil
-	spread := s.rand.Int64N(int64(reconnectMax - reconnectMin))
-	s.retryAt = now.Add(reconnectMin + time.Duration(spread))
+}
+
+func (s *Subscriber) onClosed(now time.Time) {
+	s.disconnect()
+	wait := s.backoff(reconnectMin, reconnectMax)
+	s.retryAt = now.Add(wait/2 + time.Duration(s.rand.Int64N(int64(wait/2))))
+	s.failed++
+}
+
+// backoff returns a time that doubles from the least to the most, each time that as many
+// streams in a row have failed as there are replicas.
+func (s *Subscriber) backoff(least, most time.Duration) time.Duration {
+	wait := least
+	for range s.failed / max(1, len(s.replicas)) {
+		wait = min(2*wait, most)
+	}
+	return wait
 }
 
 // onLagging leaves a replica that may be cut off, where there is another one.
@@ -70,7 +85,7 @@
 		return
 	}
 	s.do(Close{})
-	s.onClosed(now)
+	s.disconnect()
 	s.lagging++
 	s.retryAt = now.Add(time.Duration(s.rand.Int64N(int64(laggingSpread))))
 	if s.lagging >= len(s.replicas) {
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -17,16 +17,23 @@
 	"comfreyplank.org/core/validator"
 )
 
-// TickInterval is how often the caller should hand in a Tick.
-const TickInterval = 100 * time.Millisecond
+// How often the caller should hand in a Tick: while the entry follows a replica, and
+// while it looks for one.
+const (
+	TickInterval   = 100 * time.Millisecond
+	SearchInterval = 20 * time.Millisecond
+)
 
 // Timing of a subscriber.
 const (
-	reconnectMin = 100 * time.Millisecond
+	// reconnectMin and reconnectMax bound the wait after a stream has ended or could not
+	// be opened. It doubles once all replicas have been tried, and so on.
+	reconnectMin = 50 * time.Millisecond
 	reconnectMax = 400 * time.Millisecond
-	// connectPatience is how long a replica may take to open a stream: some round trips
-	// between the farthest data centres.
-	connectPatience = 500 * time.Millisecond
+	// connectMin and connectMax bound how long a replica may take to open a stream: some
+	// round trips within a region, and between the farthest data centres.
+	connectMin = 100 * time.Millisecond
+	connectMax = 500 * time.Millisecond
 	// laggingSpread is the most that an entry waits to go on to another replica, as
 	// long as it has not met all of them.
 	laggingSpread = 50 * time.Millisecond
@@ -163,6 +170,8 @@
 	discovers bool
 	// lagging counts the replicas in a row that heard no majority.
 	lagging int
+	// failed counts the streams in a row that ended or did not open.
+	failed int
 	// replicas are those that may be followed, each once.
 	replicas []string
 	rand     *rand.Rand
@@ -277,6 +286,9 @@
 	return ok || !s.configured
 }
 
+// Following reports whether the entry has a stream to a replica.
+func (s *Subscriber) Following() bool { return s.connected }
+
 // Standing reports whether the entry is known to be up to date.
 func (s *Subscriber) Standing(now time.Time) bool { return now.Before(s.standingUntil) }
 
@@ -359,6 +371,7 @@
 	}
 	s.followedAt = now
 	s.lagging = 0
+	s.failed = 0
 	s.standingUntil = sentAt.Add(messenger.StandingLease)
 	s.do(Stand{Until: s.standingUntil})
 	if !s.stood {
--- a/core/subscriber/subscriber_test.go
+++ b/core/subscriber/subscriber_test.go
@@ -71,3 +71,23 @@
 	got := s.endpoint(epoch, validator.Service{Name: "s", Connections: 260}, serving("a", false))
 	assert.Equal(t, got.Connections, 260)
 }
+
+// TestEntrySearchesSoonAndThenLessOften lets no stream open: the first replicas are tried
+// in quick succession, the later ones a few times a second.
+func TestEntrySearchesSoonAndThenLessOften(t *testing.T) {
+	s := New(messenger.Hello{Entry: "e"}, []string{"r1", "r2", "r3"})
+	var opened []time.Duration
+	for at := time.Duration(0); at < 10*time.Second; at += SearchInterval {
+		for _, a := range s.Handle(epoch.Add(at), Tick{}) {
+			if _, ok := a.(Open); ok {
+				opened = append(opened, at)
+			}
+		}
+	}
+	assert.Equal(t, opened[0], time.Duration(0))
+	assert.Assert(t, opened[1] <= 200*time.Millisecond, "%v", opened)
+	assert.Assert(t, len(opened) < 25, "%v", opened)
+	for i := 10; i < len(opened); i++ {
+		assert.Assert(t, opened[i]-opened[i-1] >= connectMax, "%v", opened)
+	}
+}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -43,6 +43,10 @@
 	instance string
 	around   Surroundings
 	active   atomic.Pointer[active]
+	// started is when the process began, and configured is closed with the first document.
+	started    time.Time
+	configured chan struct{}
+	once       sync.Once
 
 	mu    sync.RWMutex
 	lanes map[string]*lane
@@ -58,7 +62,9 @@
 // New returns a dispatcher that knows no services. Instance is unique to this
 // start of the process.
 func New(instance string, around Surroundings) *Dispatcher {
-	return &Dispatcher{instance: instance, around: around.withDefaults(), lanes: make(map[string]*lane)}
+	d := &Dispatcher{instance: instance, around: around.withDefaults(), lanes: make(map[string]*lane), configured: make(chan struct{})}
+	d.started = d.around.Now()
+	return d
 }
 
 // Configure takes up a document.
@@ -74,6 +80,34 @@
 	}
 	d.mu.Unlock()
 	d.active.Store(&active{router: r, limits: doc.Limits})
+	d.once.Do(func() { close(d.configured) })
+}
+
+// Bounds of the wait for the first document.
+const (
+	// startTime is how long after its start an entry expects the first document soon: some
+	// times what a replica takes to be found and to answer.
+	startTime = time.Second
+	// startHold is how long a call waits for it: well below the targets of calls, and
+	// shorter for a caller than to come again.
+	startHold = 150 * time.Millisecond
+)
+
+// awaitActive returns what holds for a request. Just after its start the entry waits a
+// little for its first document; without one it returns nil.
+func (d *Dispatcher) awaitActive(ctx context.Context) *active {
+	now := d.active.Load()
+	if now != nil || d.around.Now().Sub(d.started) > startTime {
+		return now
+	}
+	timer := time.NewTimer(startHold)
+	defer timer.Stop()
+	select {
+	case <-d.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.active.Load()
 }
 
 // Handle hands an input to the balancer of a service.
@@ -176,7 +210,7 @@
 		d.refuse(w, said.ID, http.StatusNotImplemented, "connections can't be handed over")
 		return
 	}
-	now := d.active.Load()
+	now := d.awaitActive(r.Context())
 	if now == nil {
 		d.around.Publish(recorder.Event{Kind: recorder.KindRefused, Request: said.ID, Detail: "no configuration yet"})
 		d.around.Callers.Refuse(w, translator.Refusal{
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -418,3 +418,37 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.Assert(t, err != nil)
 }
+
+// TestCallIsHeldForTheFirstDocument starts an entry that gets its document while a call
+// waits, too late, or long after the start.
+func TestCallIsHeldForTheFirstDocument(t *testing.T) {
+	tests := []struct {
+		name    string
+		age     time.Duration
+		arrives bool
+		want    int
+	}{
+		{"it comes soon", 0, true, http.StatusNotFound},
+		{"it does not come", 0, false, http.StatusServiceUnavailable},
+		{"none is expected any more", 2 * startTime, true, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		d := New("entry", Surroundings{Now: time.Now, Publish: func(recorder.Event) {}, Count: noCounter{}})
+		d.started = time.Now().Add(-tt.age)
+		answered := make(chan int)
+		go func() {
+			w := httptest.NewRecorder()
+			d.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/nowhere", nil))
+			answered <- w.Code
+		}()
+		if tt.age > 0 {
+			assert.Equal(t, <-answered, tt.want, tt.name)
+			continue
+		}
+		time.Sleep(startHold / 5)
+		if tt.arrives {
+			d.Configure(validator.Document{})
+		}
+		assert.Equal(t, <-answered, tt.want, tt.name)
+	}
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -97,18 +97,29 @@
 
 // Run lets time pass in the subscriber until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	ticker := time.NewTicker(subscriber.TickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			f.handle(subscriber.Tick{Leaving: f.dispatcher.Leaving()})
+			timer.Reset(f.interval())
 		}
 	}
 }
 
+// interval returns when to let time pass again.
+func (f *Follower) interval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.machine.Following() {
+		return subscriber.TickInterval
+	}
+	return subscriber.SearchInterval
+}
+
 // Announce takes in what an endpoint said to this entry.
 func (f *Follower) Announce(a registrar.Announcement) {
 	f.handle(subscriber.Announced{Announcement: a})
