Let refused callers come back in time for their target

Change: the time to come back is drawn so that the target can still be met by usual work, where that is possible; otherwise as before.

--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -348,6 +348,11 @@
 // should come again at the latest, with time for an answer.
 const comebackShare = 3
 
+const (
+	connectTime   = 30 * time.Millisecond
+	leastComeback = 10 * time.Millisecond
+)
+
 // retryAfter spreads the callers that are refused together. Zero leaves it to the
 // protocol.
 func (b *Balancer) retryAfter(now time.Time, c *call) time.Duration {
@@ -356,6 +361,10 @@
 		return 0
 	}
 	most := left / comebackShare
+	inTime := c.arrivedAt.Add(c.Target).Sub(now) - scaled(b.work.of(c.Target), workMargin) - connectTime
+	if inTime >= leastComeback {
+		return leastComeback + time.Duration(b.rand.Int64N(int64(min(most, inTime))))
+	}
 	return most/2 + time.Duration(b.rand.Int64N(int64(most/2)+1))
 }
 
