Spread long bodies over time on narrow links

Most had waited 63 ms, three rounds of questions without one answer, or took long at an endpoint that was free and not slow: a download of 90 KB holds a link of 4.8 Mbit/s for 150 ms, and short messages queue behind it.

The product's default is no bound.

--- a/core/balancer/pattern_test.go
+++ b/core/balancer/pattern_test.go
@@ -26,7 +26,11 @@
 	slowShare, slowFactor float64
 	paceLife              time.Duration
 	// hidden endpoints take slowFactor times as long all the time, and don't say so.
-	hidden           int
+	hidden int
+	// shed is the share of requests that endpoints refuse though they have room.
+	shed float64
+	// comeBack lets callers whose call was not run come again once, on another entry.
+	comeBack         bool
 	target, deadline time.Duration
 	duration         time.Duration
 }
@@ -61,17 +65,24 @@
 	now      time.Duration
 	standIns []*standIn
 	balancer []*Balancer
-	arrived  []map[CallID]time.Duration
+	arrived  []map[CallID]caller
 	running  []map[AttemptID]*atWork
 	later    map[time.Duration][]func()
 	inTime   int
 	answered int
 	refused  int
 	calls    int
+	lastCall CallID
 	// refusedLate counts the refusals that came after a quarter of the target.
 	refusedLate int
 }
 
+// caller waits for an answer to its first call or, having come again, its second.
+type caller struct {
+	first time.Duration
+	again bool
+}
+
 // atWork is one attempt at a endpoint.
 type atWork struct{ cancelled bool }
 
@@ -88,7 +99,7 @@
 		b := New(fmt.Sprint("e", i), validator.Service{Name: "s", QueueLimit: 64, RetryPercent: 18},
 			append([]Option{WithOutliving(), WithRand(rand.New(rand.NewPCG(uint64(i), 3))), WithBudget(retrier.NewBudget(18, retrier.WithBurst(2)))}, opts...)...)
 		w.balancer = append(w.balancer, b)
-		w.arrived = append(w.arrived, map[CallID]time.Duration{})
+		w.arrived = append(w.arrived, map[CallID]caller{})
 		w.running = append(w.running, map[AttemptID]*atWork{})
 		w.handle(i, Reconfigured{Service: validator.Service{Name: "s", QueueLimit: 64, RetryPercent: 18}, Endpoints: w.list(), Entries: 1})
 	}
@@ -123,7 +134,8 @@
 	}
 	for i, b := range w.balancer {
 		if w.rand.Float64() < w.rate/float64(w.entries)*step.Seconds() {
-			w.arrive(i)
+			w.calls++
+			w.arrive(i, caller{first: w.now})
 		}
 		if w.now%(5*step) == 0 {
 			w.carryOut(i, b.Handle(w.at(), Tick{}))
@@ -138,15 +150,28 @@
 	w.later[at] = append(w.later[at], do)
 }
 
-func (w *world) arrive(i int) {
-	w.calls++
-	id := CallID(w.calls)
-	w.arrived[i][id] = w.now
+func (w *world) arrive(i int, c caller) {
+	w.lastCall++
+	w.arrived[i][w.lastCall] = c
 	w.handle(i, Arrived{Call: Call{
-		ID: id, Execution: router.Repeatable, Class: validator.ClassInteractive, Deadline: w.at().Add(w.deadline), Attempts: 2, Target: w.target,
+		ID: w.lastCall, Execution: router.Repeatable, Class: validator.ClassInteractive, Deadline: epoch.Add(c.first + w.deadline), Attempts: 2, Target: w.target,
 	}})
 }
 
+// refuse lets a caller come again, or counts it as refused.
+func (w *world) refuse(i int, v Refuse) {
+	c := w.arrived[i][v.Call]
+	if w.comeBack && !c.again && v.Outcome == OutcomeNotRun {
+		other := w.rand.IntN(w.entries)
+		w.after(v.RetryAfter+2*step, func() { w.arrive(other, caller{first: c.first, again: true}) })
+		return
+	}
+	w.refused++
+	if v.Outcome == OutcomeNotRun && w.now-c.first > w.target/4 {
+		w.refusedLate++
+	}
+}
+
 func (w *world) handle(i int, in Input) {
 	w.carryOut(i, append([]Action(nil), w.balancer[i].Handle(w.at(), in)...))
 }
@@ -160,14 +185,11 @@
 			w.send(i, v)
 		case Deliver:
 			w.answered++
-			if w.now-w.arrived[i][v.Call] <= w.target {
+			if w.now-w.arrived[i][v.Call].first <= w.target {
 				w.inTime++
 			}
 		case Refuse:
-			w.refused++
-			if v.Outcome == OutcomeNotRun && w.now-w.arrived[i][v.Call] > w.target/4 {
-				w.refusedLate++
-			}
+			w.refuse(i, v)
 		case Cancel:
 			if r := w.running[i][v.Attempt]; r != nil {
 				r.cancelled = true
@@ -205,6 +227,10 @@
 	m := w.find(v.Endpoint)
 	r := &atWork{}
 	w.running[i][v.Attempt] = r
+	if w.rand.Float64() < w.shed {
+		w.after(3*step, func() { w.end(i, m, v, EndingRefused, false) })
+		return
+	}
 	w.after(step, func() { w.run(i, m, v, r) })
 }
 
@@ -277,3 +303,15 @@
 	assert.Assert(t, with.shareInTime() > 0.5)
 	assert.Assert(t, with.refusedLate*20 < with.calls)
 }
+
+// TestEndpointsThatShed asserts that callers of endpoints that refuse half of what comes,
+// though they have room, come back in time for their target.
+func TestEndpointsThatShed(t *testing.T) {
+	p := shifting
+	p.shed = 0.5
+	p.comeBack = true
+	with := play(p, asking)
+	t.Logf("in time: %.3f; late %d, refused %d of %d", with.shareInTime(), with.answered-with.inTime, with.refused, with.calls)
+	assert.Assert(t, with.shareInTime() > 0.75) // both tries answer 3 in 4 without a second attempt
+	assert.Assert(t, (with.answered-with.inTime)*10 < with.calls)
+}
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -79,10 +79,10 @@
 		w.Header()["Content-Type"] = nil // keeps the server from guessing
 	}
 	if t.answer.Whole {
-		writeWhole(w, r, t.answer)
+		l.writeWhole(w, r, t.answer)
 		return
 	}
-	l.stream(w, t)
+	l.stream(w, r, t)
 }
 
 func copyHeader(to, from http.Header) {
@@ -91,7 +91,7 @@
 	}
 }
 
-func writeWhole(w http.ResponseWriter, r *http.Request, a *forwarder.Answer) {
+func (l *lane) writeWhole(w http.ResponseWriter, r *http.Request, a *forwarder.Answer) {
 	chunked := len(a.Response.Trailer) > 0
 	if r.Method != http.MethodHead && !chunked && bodyAllowed(a.Response.StatusCode) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Prefix)))
@@ -100,7 +100,7 @@
 	if chunked {
 		_ = http.NewResponseController(w).Flush() // trailers need a chunked body
 	}
-	_, _ = w.Write(a.Prefix) // a caller that has gone can't be told
+	_, _ = l.around.Outbound.Writer(r.Context(), w).Write(a.Prefix) // a caller that has gone can't be told
 	writeTrailers(w, a.Response)
 }
 
@@ -116,10 +116,10 @@
 
 // stream passes a long body on as it comes. When it is cut, the caller's
 // connection is cut too, so that the answer can't pass for a whole one.
-func (l *lane) stream(w http.ResponseWriter, t *attempt) {
+func (l *lane) stream(w http.ResponseWriter, r *http.Request, t *attempt) {
 	response := t.answer.Response
 	w.WriteHeader(response.StatusCode)
-	t.ending = pass(w, t.answer)
+	t.ending = pass(w, l.around.Outbound.Writer(r.Context(), w), t.answer)
 	close(t.finished)
 	if t.ending != balancer.EndingComplete {
 		panic(http.ErrAbortHandler)
@@ -128,8 +128,8 @@
 }
 
 // pass copies the body, and says whose end failed if one did.
-func pass(w http.ResponseWriter, a *forwarder.Answer) balancer.Ending {
-	to := &flushing{writer: w, control: http.NewResponseController(w)}
+func pass(w http.ResponseWriter, paced io.Writer, a *forwarder.Answer) balancer.Ending {
+	to := &flushing{writer: paced, control: http.NewResponseController(w)}
 	if _, err := to.Write(a.Prefix); err != nil {
 		return balancer.EndingCancelled
 	}
@@ -144,7 +144,7 @@
 
 // flushing sends each part of a body as it comes.
 type flushing struct {
-	writer  http.ResponseWriter
+	writer  io.Writer
 	control *http.ResponseController
 	// failed is set once the caller can't be written to.
 	failed bool
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -11,6 +11,7 @@
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
+	"comfreyplank.org/entry/pacer"
 	"comfreyplank.org/entry/translator"
 )
 
@@ -28,6 +29,10 @@
 	// Callers and Endpoints are the protocols; the product's own where not set.
 	Callers   translator.Callers
 	Endpoints translator.Endpoints
+	// Inbound and Outbound pace the bodies of answers from endpoints and to callers; the
+	// zero values don't.
+	Inbound  pacer.Pacer
+	Outbound pacer.Pacer
 	// Balance sets up the balancer of each service.
 	Balance func() []balancer.Option
 }
@@ -100,7 +105,7 @@
 	return &lane{
 		service:   service.Name,
 		around:    around,
-		forwarder: forwarder.New(around.Now, around.Endpoints),
+		forwarder: forwarder.New(around.Now, around.Endpoints, around.Inbound),
 		machine:   balancer.New(instance, service, around.Balance()...),
 		calls:     make(map[balancer.CallID]*waiting),
 		attempts:  make(map[balancer.AttemptID]*attempt),
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/entry/pacer"
 	"comfreyplank.org/entry/translator"
 )
 
@@ -63,6 +64,8 @@
 type Forwarder struct {
 	now      func() time.Time
 	protocol translator.Endpoints
+	// inbound paces the bodies of answers.
+	inbound pacer.Pacer
 
 	// group holds the goroutines that send long bodies.
 	group sync.WaitGroup
@@ -71,8 +74,8 @@
 }
 
 // New returns a forwarder without connections.
-func New(now func() time.Time, protocol translator.Endpoints) *Forwarder {
-	return &Forwarder{now: now, protocol: protocol, pools: make(map[string]*pool)}
+func New(now func() time.Time, protocol translator.Endpoints, inbound pacer.Pacer) *Forwarder {
+	return &Forwarder{now: now, protocol: protocol, inbound: inbound, pools: make(map[string]*pool)}
 }
 
 func (f *Forwarder) pool(address string) *pool {
@@ -178,6 +181,7 @@
 		Response: response, Informational: informational, Report: f.protocol.Report(response.Header),
 		pool: p, connection: c, release: release,
 	}
+	response.Body = f.inbound.Body(ctx, response.Body)
 	answer.Prefix, answer.Whole, err = readAhead(response.Body, response.ContentLength)
 	if err != nil {
 		release()
