Do not let a silent connection hold up a replica's planned stop

Its goroutines: grpc's Stop waits for connections that have been accepted and have not sent their first bytes, for 120 s by default. The users' platform would have killed it after its grace time. Change: a new connection has 2 s to begin its protocol. Ruled out: the handing over of leadership (2 s at most) and operators' requests (1 s).

--- a/control/server/server.go
+++ b/control/server/server.go
@@ -15,7 +15,12 @@
 	"comfreyplank.org/shell/encoder/wire"
 )
 
-const maxMessageBytes = 64 << 20
+const (
+	maxMessageBytes = 64 << 20
+	// handshakeTimeout is how long a new connection may take to begin its protocol: many
+	// round trips between the farthest data centres. A planned stop waits for it.
+	handshakeTimeout = 2 * time.Second
+)
 
 // Server serves the wire protocol of a replica.
 type Server struct {
@@ -26,7 +31,7 @@
 
 // New returns the protocol server of a replica.
 func New(d *driver.Driver, clock driver.Clock) *grpc.Server {
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes))
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ConnectionTimeout(handshakeTimeout))
 	wire.RegisterControlServer(s, &Server{driver: d, clock: clock})
 	return s
 }
--- /dev/null
+++ b/control/server/server_test.go
@@ -0,0 +1,34 @@
+package server
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStopDoesNotWaitForSilentConnections stops a server to which a connection was opened
+// that never said anything, as one whose other end was lost.
+func TestStopDoesNotWaitForSilentConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(nil, nil)
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.Serve(listener) }) // it ends with the server
+	silent, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, silent.Close()) }()
+	// The server writes its settings first, so the connection has been accepted then.
+	_, err = silent.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	stopped := make(chan struct{})
+	group.Go(func() { s.Stop(); close(stopped) })
+	select {
+	case <-stopped:
+	case <-time.After(5 * handshakeTimeout):
+		t.Error("the server still waits for a connection that says nothing")
+	}
+	group.Wait()
+}
