--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-MODULES := core shell entry control ctl platform standin bench
+MODULES := core shell entry control ctl platform standin bench soaker
 LINT_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint unit demo long clean
+.PHONY: build test lint unit demo long soak clean
 
 # build makes every program in bin/.
 build:
@@ -37,5 +37,11 @@
 long:
 	go test -race $(RANDOM_TESTS) -run '^TestRandom' -rapid.checks=2000 -timeout 60m
 
+# soak runs the programs under faults on fresh seeds; SOAK holds further flags.
+soak:
+	@mkdir -p bin/soak
+	go build -race -o bin/soak/ ./entry ./control ./soaker
+	bin/soak/soaker --bin bin/soak $(SOAK)
+
 clean:
 	rm -rf bin data
--- a/bench/stager/silence_test.go
+++ b/bench/stager/silence_test.go
@@ -96,7 +96,7 @@
 	t.Cleanup(s.Stop)
 	between := newRelay(t, s.Controls[0].Listen)
 	e := s.Entries[0]
-	e.args = append(e.args[:len(e.args)-1], between.listener.Addr().String())
+	e.Args = append(e.Args[:len(e.Args)-1], between.listener.Addr().String())
 	assert.NilError(t, s.Start())
 	for revision := range uint64(4) {
 		r := s.apply(t, Document(revision, "change-"+string(rune('a'+revision))))
--- a/bench/stager/stager.go
+++ b/bench/stager/stager.go
@@ -41,8 +41,9 @@
 	Listen, Admin string
 	// Data is its folder, if it has one.
 	Data string
-	path string
-	args []string
+	// Path and Args are the program and its arguments.
+	Path string
+	Args []string
 	log  *os.File
 	cmd  *exec.Cmd
 }
@@ -69,16 +70,16 @@
 		s.peers = append(s.peers, "--peer", p.Name+"="+p.Listen)
 	}
 	for _, p := range s.Controls {
-		p.args = append([]string{"--name", p.Name, "--listen", p.Listen, "--admin", p.Admin, "--data", p.Data}, s.peers...)
+		p.Args = append([]string{"--name", p.Name, "--listen", p.Listen, "--admin", p.Admin, "--data", p.Data}, s.peers...)
 	}
 	for i := range entries {
 		p, err := s.process("entry", fmt.Sprint("e", i+1))
 		if err != nil {
 			return nil, err
 		}
-		p.args = []string{"--name", p.Name, "--data-centre", "dc-1", "--listen", p.Listen, "--admin", p.Admin, "--notice", "300ms"}
+		p.Args = []string{"--name", p.Name, "--data-centre", "dc-1", "--listen", p.Listen, "--admin", p.Admin, "--notice", "300ms"}
 		for _, c := range s.Controls {
-			p.args = append(p.args, "--control", c.Listen)
+			p.Args = append(p.Args, "--control", c.Listen)
 		}
 		s.Entries = append(s.Entries, p)
 	}
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Process{Name: name, Listen: listen, Admin: admin, path: filepath.Join(s.Bin, program)}, nil
+	return &Process{Name: name, Listen: listen, Admin: admin, Path: filepath.Join(s.Bin, program)}, nil
 }
 
 // AddStandin adds a stand-in endpoint that records its runs in a file.
@@ -104,9 +105,9 @@
 		return err
 	}
 	p.Data = filepath.Join(s.Work, p.Name+".runs")
-	p.args = append([]string{"--service", service, "--name", p.Name, "--first", p.Listen, "--record", p.Data}, args...)
+	p.Args = append([]string{"--service", service, "--name", p.Name, "--first", p.Listen, "--record", p.Data}, args...)
 	for _, e := range s.Entries {
-		p.args = append(p.args, "--entry", e.Listen)
+		p.Args = append(p.Args, "--entry", e.Listen)
 	}
 	s.Standins = append(s.Standins, p)
 	return nil
@@ -131,7 +132,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	p.log = log
-	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd = exec.Command(p.Path, p.Args...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
 	return errors.Wrap(p.cmd.Start(), "start "+p.Name)
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -3,6 +3,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -41,8 +42,9 @@
 	Name string
 	// Listen is the address for entries and replicas, and Admin the one for operators
 	// and metrics.
-	Listen string
-	Admin  string
+	Listen, Admin string
+	// Advertise is where others reach this replica; empty means at Listen.
+	Advertise string
 	// Data is the data folder.
 	Data string
 	// Peers are the replicas of the first set.
@@ -104,7 +106,7 @@
 	count := counter.New(prometheus.DefaultRegisterer)
 	publish := r.publishTo(ctx, events, count)
 	set := append([]driver.Option{driver.WithPeers(s.Peers), driver.WithPublish(publish), driver.WithTimes(count.Request)}, r.options.driver...)
-	d, err := driver.New(&r.group, events, s.Data, s.Name, s.Listen, set...)
+	d, err := driver.New(&r.group, events, s.Data, s.Name, cmp.Or(s.Advertise, s.Listen), set...)
 	if err != nil {
 		return err
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -16,6 +16,7 @@
 type settings struct {
 	Name        string             `long:"name" env:"COMFREYPLANK_NAME" required:"true" description:"name of this replica, unique in the system; it stays when the disk is replaced"`
 	Listen      string             `long:"listen" env:"COMFREYPLANK_LISTEN" default:"127.0.0.1:7080" description:"IP address and port for entries and replicas"`
+	Advertise   string             `long:"advertise" env:"COMFREYPLANK_ADVERTISE" description:"IP address and port at which others reach this replica, where it isn't --listen"`
 	Admin       string             `long:"admin" env:"COMFREYPLANK_ADMIN" default:"127.0.0.1:7081" description:"IP address and port for operators and metrics"`
 	Data        string             `long:"data" env:"COMFREYPLANK_DATA" required:"true" description:"data folder, on a disk of this instance"`
 	Peers       []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
@@ -36,6 +37,9 @@
 	c.Name("name", s.Name)
 	c.Address("listen", s.Listen)
 	c.Address("admin", s.Admin)
+	if s.Advertise != "" {
+		c.Address("advertise", s.Advertise)
+	}
 	s.checkPeers(&c)
 	return c.Err()
 }
@@ -60,7 +64,7 @@
 }
 
 func (s settings) runner() runner.Settings {
-	return runner.Settings{Name: s.Name, Listen: s.Listen, Admin: s.Admin, Data: s.Data, Peers: s.members(), OperatorKey: s.OperatorKey}
+	return runner.Settings{Name: s.Name, Listen: s.Listen, Advertise: s.Advertise, Admin: s.Admin, Data: s.Data, Peers: s.members(), OperatorKey: s.OperatorKey}
 }
 
 // members returns the peers as members of the groups.
--- /dev/null
+++ b/soaker/main.go
@@ -0,0 +1,97 @@
+// Program soaker runs the real programs on loopback, lets faults, planned stops and
+// changes happen to them, and checks the promises meanwhile. Each run follows from its
+// seed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"comfreyplank.org/soaker/planner"
+	"comfreyplank.org/soaker/runner"
+)
+
+// settings are the flags of the program.
+type settings struct {
+	Bin       string        `long:"bin" env:"COMFREYPLANK_SOAK_BIN" default:"bin" description:"folder of the programs entry and control"`
+	Keep      string        `long:"keep" env:"COMFREYPLANK_SOAK_KEEP" description:"folder for the logs of runs that broke a promise; the system's folder for temporary files if empty"`
+	Seed      uint64        `long:"seed" env:"COMFREYPLANK_SOAK_SEED" description:"seed of the first run; 0 draws one"`
+	Runs      int           `long:"runs" default:"1" description:"runs, one after the other, on seeds that follow each other"`
+	Length    time.Duration `long:"length" default:"20s" description:"time in which things happen, in each run"`
+	Controls  int           `long:"controls" default:"3" description:"control replicas"`
+	Entries   int           `long:"entries" default:"3" description:"entries"`
+	Endpoints int           `long:"endpoints" default:"4" description:"endpoints"`
+	Callers   int           `long:"callers" default:"8" description:"callers"`
+	Verbose   bool          `long:"verbose" short:"v" description:"print each step"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var s settings
+	if _, err := flags.Parse(&s); err != nil {
+		return 2
+	}
+	if s.Verbose {
+		slog.SetLogLoggerLevel(slog.LevelDebug)
+	}
+	if s.Controls < 1 || s.Entries < 1 || s.Endpoints < 1 || s.Callers < 1 || s.Runs < 1 || s.Length <= 0 {
+		fmt.Fprintln(os.Stderr, "soaker: each number must be at least 1")
+		return 2
+	}
+	if s.Seed == 0 {
+		s.Seed = uint64(rand.Uint32())
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	failed := 0
+	for i := range s.Runs {
+		if ctx.Err() == nil && !s.soak(ctx, s.Seed+uint64(i)) {
+			failed++
+		}
+	}
+	fmt.Printf("%d of %d runs broke a promise\n", failed, s.Runs)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// soak runs one seed, and reports whether every promise was kept. The folder of a run that
+// broke one is kept.
+func (s settings) soak(ctx context.Context, seed uint64) bool {
+	work, err := os.MkdirTemp(s.Keep, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soaker:", err)
+		return false
+	}
+	bin, err := filepath.Abs(s.Bin)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soaker:", err)
+		return false
+	}
+	r, err := runner.Run(ctx, runner.Settings{
+		Bin: bin, Work: work, Seed: seed, Length: s.Length, Callers: s.Callers,
+		Size: planner.Size{Controls: s.Controls, Entries: s.Entries, Endpoints: s.Endpoints},
+	})
+	fmt.Printf("seed %d: %d steps, revision %d, answered %d, not run %d, unknown %d, broken %d, violations %d\n",
+		seed, r.Steps, r.Revision, r.Answered, r.NotRun, r.Unknown, r.Broken, len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Println("  ", v)
+	}
+	if err == nil && len(r.Violations) == 0 {
+		_ = os.RemoveAll(work) // what stays is in the way of nothing
+		return true
+	}
+	fmt.Println("   logs:", work, "error:", err)
+	return false
+}
--- /dev/null
+++ b/soaker/planner/planner.go
@@ -0,0 +1,138 @@
+// Package planner draws what happens in a soak from its seed: a series of faults,
+// planned stops and changes that come singly, together and again.
+package planner
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is what happens.
+type Kind string
+
+// The kinds of steps.
+const (
+	// KindKill ends a process at once; it starts again after For.
+	KindKill Kind = "kill"
+	// KindTear kills a replica as it writes: its journals end with a torn record.
+	KindTear Kind = "tear"
+	// KindWipe takes a replica's disk. It waits until earlier losses are repaired.
+	KindWipe Kind = "wipe"
+	// KindStop is a planned stop; the process starts again after For.
+	KindStop Kind = "stop"
+	// KindPause freezes a process for a time.
+	KindPause Kind = "pause"
+	// KindDelay makes the link to a process slow, KindCutTo and KindCutFrom lose what goes
+	// one way, KindReset resets open connections, and KindForget silences them for good.
+	KindDelay   Kind = "delay"
+	KindCutTo   Kind = "cut-to"
+	KindCutFrom Kind = "cut-from"
+	KindReset   Kind = "reset"
+	KindForget  Kind = "forget"
+	// KindRace sends two changes on the same revision at once.
+	KindRace Kind = "race"
+	// KindDrain lets an endpoint announce that it leaves, and come back.
+	KindDrain Kind = "drain"
+	// KindShed, KindSlow, KindFail and KindHalf let an endpoint misbehave for a time.
+	KindShed Kind = "shed"
+	KindSlow Kind = "slow"
+	KindFail Kind = "fail"
+	KindHalf Kind = "half"
+)
+
+// Class is what a step happens to.
+type Class string
+
+// The classes of targets.
+const (
+	ClassControl  Class = "control"
+	ClassEntry    Class = "entry"
+	ClassEndpoint Class = "endpoint"
+)
+
+// Step is one thing that happens.
+type Step struct {
+	// At counts from the start of the soak.
+	At     time.Duration
+	Kind   Kind
+	Class  Class
+	Target int
+	// For is how long it lasts, or how long a process is down.
+	For time.Duration
+}
+
+// Size is how many targets there are of each class.
+type Size struct {
+	Controls, Entries, Endpoints int
+}
+
+// Spacing of the steps.
+const (
+	minGap = 100 * time.Millisecond
+	maxGap = 1500 * time.Millisecond
+	minFor = 200 * time.Millisecond
+	maxFor = 4 * time.Second
+	// again is the share of steps that follow the one before on the same target at once.
+	again = 0.2
+)
+
+// menu are the kinds that each class knows, the commoner ones more often.
+var menu = []struct {
+	class Class
+	kinds []Kind
+}{
+	{ClassControl, []Kind{KindKill, KindKill, KindTear, KindWipe, KindStop, KindStop, KindPause, KindDelay, KindCutTo, KindCutFrom, KindReset, KindForget, KindRace}},
+	{ClassEntry, []Kind{KindKill, KindStop, KindStop, KindStop, KindPause}},
+	{ClassEndpoint, []Kind{KindDrain, KindDrain, KindShed, KindSlow, KindFail, KindHalf, KindDelay, KindCutTo, KindCutFrom, KindReset, KindForget}},
+}
+
+// Plan draws the steps of a soak of a given length.
+func Plan(seed uint64, size Size, length time.Duration) []Step {
+	source := rand.New(rand.NewPCG(seed, 1))
+	var steps []Step
+	var at time.Duration
+	for {
+		at += between(source, minGap, maxGap)
+		if at >= length {
+			return steps
+		}
+		step := draw(source, size)
+		if last := len(steps) - 1; last >= 0 && source.Float64() < again {
+			step.Class, step.Target = steps[last].Class, steps[last].Target
+			step.Kind = kindOf(source, step.Class)
+		}
+		step.At = at
+		steps = append(steps, step)
+	}
+}
+
+func draw(source *rand.Rand, size Size) Step {
+	part := menu[source.IntN(len(menu))]
+	return Step{
+		Kind: kindOf(source, part.class), Class: part.class,
+		Target: source.IntN(size.of(part.class)), For: between(source, minFor, maxFor),
+	}
+}
+
+func kindOf(source *rand.Rand, class Class) Kind {
+	for _, part := range menu {
+		if part.class == class {
+			return part.kinds[source.IntN(len(part.kinds))]
+		}
+	}
+	return ""
+}
+
+func (s Size) of(class Class) int {
+	switch class {
+	case ClassControl:
+		return s.Controls
+	case ClassEntry:
+		return s.Entries
+	}
+	return s.Endpoints
+}
+
+func between(source *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(source.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/soaker/runner/soak_test.go
@@ -0,0 +1,80 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/soaker/checker"
+	"comfreyplank.org/soaker/planner"
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "comfreyplank-soak")
+	if err != nil {
+		panic(err)
+	}
+	bin = folder
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./entry", "./control")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Println(string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder) // the system's folder for temporary files is emptied anyway
+	os.Exit(code)
+}
+
+// TestSoaks plays short soaks. A seed that ever broke a promise stays here, with its cause.
+func TestSoaks(t *testing.T) {
+	small := planner.Size{Controls: 3, Entries: 2, Endpoints: 3}
+	tests := []struct {
+		name string
+		seed uint64
+		size planner.Size
+		// length is the time in which things happen.
+		length time.Duration
+	}{
+		{"kills, cuts and stops of a small system", 4, small, 8 * time.Second},
+		{"a replica stops while connections to it are silent: it waited 120 s for their first bytes", 9, planner.Size{Controls: 5, Entries: 3, Endpoints: 4}, 8 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			report, err := Run(context.Background(), Settings{
+				Bin: bin, Work: t.TempDir(), Seed: tt.seed, Length: tt.length, Size: tt.size, Callers: 4,
+			})
+			assert.NilError(t, err)
+			assert.Assert(t, report.Answered > 0 && report.Steps > 0)
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+		})
+	}
+}
+
+// TestSoakFindsARunTooMany asserts that the watch of a soak isn't blind: its
+// stand-in records one run more than there was.
+func TestSoakFindsARunTooMany(t *testing.T) {
+	s := &Soak{check: checker.New(), settings: Settings{Bin: bin, Work: t.TempDir(), Size: planner.Size{Controls: 1, Entries: 1, Endpoints: 1}}}
+	assert.NilError(t, s.build())
+	t.Cleanup(s.clean)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(s.group.Wait)
+	t.Cleanup(cancel)
+	assert.NilError(t, s.begin(ctx))
+	c := newCaller("caller", s.entries, s.check, newSource(1, 1))
+	c.call(kinds[1])
+	assert.Equal(t, len(s.check.Finish()), 0)
+	_, err := runs{s.check, "endpoint"}.Write([]byte("caller-1\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.check.Finish()), 1)
+}
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,9 +23,11 @@
 
 // Settings say what the endpoint announces.
 type Settings struct {
-	Service     string
-	Endpoint    string
-	Address     string
+	Service  string
+	Endpoint string
+	Address  string
+	// Advertise is the address that is announced; empty means Address.
+	Advertise   string
 	DataCentre  string
 	Slots       int
 	Connections int
@@ -113,10 +116,10 @@
 	}
 }
 
-// Set replaces the behaviour and announces it.
-func (r *Responder) Set(ctx context.Context, b Behaviour) {
+// Set replaces the behaviour and announces it, and reports whether an entry took that.
+func (r *Responder) Set(ctx context.Context, b Behaviour) bool {
 	r.behaviour.Store(&b)
-	r.announce(ctx, http.MethodPut)
+	return r.announce(ctx, http.MethodPut)
 }
 
 // Silence makes the connections that are open go silent.
@@ -158,7 +161,7 @@
 // announce tries the entries in turn until one takes it.
 func (r *Responder) announce(ctx context.Context, method string) bool {
 	body, err := json.Marshal(announcement{
-		Address: r.settings.Address, DataCentre: r.settings.DataCentre, Slots: r.settings.Slots,
+		Address: cmp.Or(r.settings.Advertise, r.settings.Address), DataCentre: r.settings.DataCentre, Slots: r.settings.Slots,
 		Connections: r.settings.Connections, State: r.state(), Incarnation: r.incarnation,
 		Sequence: r.sequence.Add(1), Load: r.Load(),
 	})
@@ -306,7 +309,7 @@
 }
 
 func (r *Responder) count(req *http.Request) {
-	key := req.Header.Get("Idempotency-Key")
+	key := cmp.Or(req.Header.Get("Idempotency-Key"), req.Header.Get("X-Mark"))
 	if key == "" {
 		return
 	}
