--- a/bench/stager/stager.go
+++ b/bench/stager/stager.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -48,15 +47,6 @@
 	cmd  *exec.Cmd
 }
 
-// Address returns a free address on loopback.
-func Address() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // New returns a stage with replicas and entries that have not been started.
 func New(bin, work string, controls, entries int) (*Stage, error) {
 	s := &Stage{Bin: bin, Work: work}
