Compress large documents on their way to entries, once for all

Change: documents from 4 KB are compressed with gzip; the wire form of the latest configuration is made once in a replica.

--- a/control/server/server.go
+++ b/control/server/server.go
@@ -27,6 +27,11 @@
 	wire.UnimplementedControlServer
 	driver *driver.Driver
 	clock  driver.Clock
+
+	mu sync.Mutex
+	// configured is the wire form of the latest configuration that was sent: all entries
+	// get the same.
+	configured *wire.FromControl
 }
 
 // New returns the protocol server of a replica.
@@ -98,13 +103,30 @@
 }
 
 func (s *Server) send(client wire.Control_FollowServer, m messenger.ToEntry) error {
-	encoded, err := encoder.EncodeToEntry(m)
+	encoded, err := s.encode(m)
 	if err != nil {
 		slog.Warn("message to an entry dropped", "error", err)
 		return nil
 	}
-	encoded.Stamp = encoder.EncodeStamp(s.clock.Stamp())
-	return client.Send(encoded)
+	return client.Send(&wire.FromControl{Stamp: encoder.EncodeStamp(s.clock.Stamp()), Message: encoded.GetMessage()})
+}
+
+// encode returns the wire form of a message; that of a configuration is made once.
+func (s *Server) encode(m messenger.ToEntry) (*wire.FromControl, error) {
+	configured, ok := m.(messenger.Configured)
+	if !ok {
+		return encoder.EncodeToEntry(m)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.configured != nil && s.configured.GetConfigured().GetRevision() == configured.Revision {
+		return s.configured, nil
+	}
+	encoded, err := encoder.EncodeToEntry(m)
+	if err == nil {
+		s.configured = encoded
+	}
+	return encoded, err
 }
 
 // Exchange takes the messages of another replica, and returns signs of life.
--- a/shell/encoder/entry.go
+++ b/shell/encoder/entry.go
@@ -8,7 +8,6 @@
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/registrar"
-	"comfreyplank.org/core/validator"
 	"comfreyplank.org/shell/encoder/wire"
 )
 
@@ -68,9 +67,9 @@
 func EncodeToEntry(m messenger.ToEntry) (*wire.FromControl, error) {
 	switch v := m.(type) {
 	case messenger.Configured:
-		document, err := json.Marshal(v.Document)
+		document, err := encodeDocument(v.Document)
 		if err != nil {
-			return nil, errors.Wrap(err, "encode document")
+			return nil, err
 		}
 		configured := &wire.Configured{Revision: v.Revision, Document: document}
 		return &wire.FromControl{Message: &wire.FromControl_Configured{Configured: configured}}, nil
@@ -100,9 +99,9 @@
 func DecodeToEntry(m *wire.FromControl) (messenger.ToEntry, error) {
 	switch v := m.GetMessage().(type) {
 	case *wire.FromControl_Configured:
-		var document validator.Document
-		if err := json.Unmarshal(v.Configured.GetDocument(), &document); err != nil {
-			return nil, errors.Wrap(err, "decode document")
+		document, err := decodeDocument(v.Configured.GetDocument())
+		if err != nil {
+			return nil, err
 		}
 		return messenger.Configured{Revision: v.Configured.GetRevision(), Document: document}, nil
 	case *wire.FromControl_BeatAnswer:
