Let idle connections to endpoints hold no buffers

Change: buffers belong to connections in use and are pooled. A connection on which more came than its answer is closed as it comes back, and no longer only when it is taken again. Test: bytes beyond an answer end the connection, idle ones hold no buffer.

--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -39,9 +39,9 @@
 // connection is one connection to an endpoint. The standard library writes
 // requests to it and reads answers from it, on the goroutine of the attempt.
 type connection struct {
-	conn   net.Conn
+	conn net.Conn
+	// reader is there while the connection is in use.
 	reader *bufio.Reader
-	writer *bufio.Writer
 	// written counts the bytes handed to the system: what is not counted was not
 	// sent.
 	written atomic.Int64
@@ -67,11 +67,38 @@
 		return nil, errors.Wrap(err, "dial endpoint")
 	}
 	c := &connection{conn: raw, openedAt: now(), headerLeft: -1, group: group}
-	c.reader = bufio.NewReaderSize(limitedReader{c}, bufferBytes)
-	c.writer = bufio.NewWriterSize(countingWriter{c}, bufferBytes)
+	c.begin()
 	return c, nil
 }
 
+// readers and writers hold the buffers that no connection uses: most connections are idle.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+)
+
+// begin gives the connection a buffer to read with.
+func (c *connection) begin() {
+	reader, ok := readers.Get().(*bufio.Reader)
+	if !ok {
+		reader = bufio.NewReaderSize(nil, bufferBytes)
+	}
+	reader.Reset(limitedReader{c})
+	c.reader = reader
+}
+
+// rest gives the buffer back after a whole answer. It reports false where more was read
+// than the answer: the connection can't be used again.
+func (c *connection) rest() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
+	return true
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
@@ -115,9 +142,6 @@
 // alive reports whether an idle connection is open and quiet. The other end may
 // have closed it, or sent what belongs to no request.
 func (c *connection) alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
 	raw, ok := c.conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -165,10 +189,17 @@
 }
 
 func (c *connection) send(request *http.Request) error {
-	if err := request.Write(c.writer); err != nil {
+	writer, ok := writers.Get().(*bufio.Writer)
+	if !ok {
+		writer = bufio.NewWriterSize(nil, bufferBytes)
+	}
+	defer writers.Put(writer)
+	writer.Reset(countingWriter{c})
+	defer writer.Reset(nil)
+	if err := request.Write(writer); err != nil {
 		return errors.Wrap(err, "write request")
 	}
-	return errors.Wrap(c.writer.Flush(), "write request")
+	return errors.Wrap(writer.Flush(), "write request")
 }
 
 // receive reads the head of an answer, and the informational ones before it.
--- a/entry/forwarder/pool.go
+++ b/entry/forwarder/pool.go
@@ -44,6 +44,7 @@
 			continue
 		}
 		p.idle = p.idle[:last]
+		c.begin()
 		return c
 	}
 	return nil
@@ -87,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.answeredAt = p.now()
-	if p.retired {
+	if p.retired || !c.rest() {
 		c.close()
 		p.open--
 		return
--- /dev/null
+++ b/entry/forwarder/pool_test.go
@@ -0,0 +1,88 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/balancer"
+)
+
+// answering serves each request on each connection with the same bytes.
+func answering(t *testing.T, answer string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { serve(conn, answer) })
+		}
+	})
+	return listener.Addr().String()
+}
+
+func serve(conn net.Conn, answer string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+// TestConnectionsAreUsedAgainOnlyWhenQuiet asserts that bytes beyond an answer never reach
+// the next request, and that idle connections hold no buffer.
+func TestConnectionsAreUsedAgainOnlyWhenQuiet(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	tests := []struct {
+		name, answer string
+		again        bool
+	}{
+		{"a whole answer", whole, true},
+		{"another answer after it", whole + whole, false},
+		{"bytes that are none", whole + "x", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var group sync.WaitGroup
+			p := &pool{address: answering(t, tt.answer), now: time.Now, group: &group}
+			rule := balancer.Connection{MaxQuiet: balancer.AnyQuiet, MaxOpen: 2}
+			for i := range 3 {
+				c, used, err := p.get(context.Background(), rule)
+				assert.NilError(t, err)
+				assert.Equal(t, used, tt.again && i > 0)
+				request, err := http.NewRequest(http.MethodGet, "http://"+p.address+"/", nil)
+				assert.NilError(t, err)
+				response, _, err := c.roundTrip(request, false)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "ok")
+				p.put(c)
+				for _, idle := range p.idle {
+					assert.Assert(t, idle.reader == nil)
+				}
+			}
+			p.retire()
+			assert.Equal(t, p.open, 0)
+		})
+	}
+}
