Ask a subset of endpoints first, so that connections stay in use

Change: each entry orders the endpoints of a service by a hash of both names and asks the first 10 that take work in its own data centre, and the first 4 of others, before it looks farther. Entries cover endpoints evenly; one that comes or goes moves one place.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -88,6 +88,8 @@
 	rand    *rand.Rand
 
 	endpoints []*endpoint
+	// ranked are the same in the order in which this entry prefers them.
+	ranked []*endpoint
 	// candidates stand at the positions of their endpoints.
 	candidates []picker.Candidate
 	picker     *picker.Picker
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -61,8 +61,9 @@
 	// gone is set once the entry is told of the endpoint no more; it is removed
 	// when nothing is in flight.
 	gone bool
-	// at is the position in the balancer.
-	at int
+	// at is the position in the balancer, and rank the place in this entry's order.
+	at   int
+	rank uint64
 }
 
 func (e *endpoint) name() string { return e.Endpoint.Endpoint }
@@ -136,7 +137,7 @@
 	if b.settled {
 		warmFrom = now
 	}
-	b.endpoints = append(b.endpoints, &endpoint{Endpoint: next, at: len(b.endpoints)})
+	b.endpoints = append(b.endpoints, &endpoint{Endpoint: next, at: len(b.endpoints), rank: rankOf(b.entry, next.Endpoint)})
 	b.candidates = append(b.candidates, picker.Candidate{WarmFrom: warmFrom})
 }
 
@@ -174,6 +175,7 @@
 	for i, e := range b.endpoints {
 		e.at = i
 	}
+	b.order()
 }
 
 // review recomputes what the choice may use.
@@ -182,6 +184,7 @@
 	for i, e := range b.endpoints {
 		b.reviewOne(now, i, e)
 	}
+	b.chooseSubset()
 }
 
 func (b *Balancer) reviewOne(now time.Time, i int, e *endpoint) {
--- a/core/balancer/pattern_test.go
+++ b/core/balancer/pattern_test.go
@@ -75,6 +75,8 @@
 	refused  int
 	calls    int
 	lastCall CallID
+	// asked has the pairs of entries and endpoints that were asked.
+	asked map[[2]string]bool
 	// refusedLate counts the refusals that came after a quarter of the target.
 	refusedLate int
 }
@@ -93,7 +95,7 @@
 const step = time.Millisecond
 
 func play(p pattern, opts ...Option) *world {
-	w := &world{pattern: p, rand: rand.New(rand.NewPCG(7, 11)), later: map[time.Duration][]func(){}}
+	w := &world{pattern: p, rand: rand.New(rand.NewPCG(7, 11)), later: map[time.Duration][]func(){}, asked: map[[2]string]bool{}}
 	for i := range p.endpoints {
 		w.standIns = append(w.standIns, &standIn{name: fmt.Sprint("m", i), hidden: i < p.hidden, paceUntil: time.Duration(i) * p.paceLife / time.Duration(p.endpoints)})
 	}
@@ -217,7 +219,11 @@
 	return Report{Load: m.running + len(m.waiting), Pace: pace}
 }
 
+// pairsAsked is how many connections the questions need at least.
+func (w *world) pairsAsked() int { return len(w.asked) }
+
 func (w *world) probe(i int, v Probe) {
+	w.asked[[2]string{w.balancer[i].entry, v.Endpoint}] = true
 	m := w.find(v.Endpoint)
 	w.after(3*step, func() {
 		report := w.report(m)
--- a/core/picker/fresh.go
+++ b/core/picker/fresh.go
@@ -85,22 +85,44 @@
 	return math.Exp(c.bias * math.Exp(-float64(now.Sub(c.biasAt))/float64(biasLife)))
 }
 
-// Draw returns the position of a candidate at random, or None. Those of the own data
-// centre come more often, unless the draw is to go far. Positions for which skip returns
-// true are passed over.
+// Draw returns the position of a candidate at random, or None. Preferred ones come first,
+// and those of the own data centre more often, unless the draw is to go far. Positions for
+// which skip returns true are passed over.
 func (k *Picker) Draw(list []Candidate, far bool, skip func(int) bool) int {
+	if far {
+		return k.draw(list, skip, func(*Candidate) int { return 1 })
+	}
+	chosen := k.draw(list, skip, func(c *Candidate) int {
+		if !c.Preferred {
+			return 0
+		}
+		return nearness(c)
+	})
+	if chosen == None {
+		return k.draw(list, skip, nearness)
+	}
+	return chosen
+}
+
+// nearness is the weight of a candidate as long as there is no need to look farther.
+func nearness(c *Candidate) int {
+	if c.Far {
+		return 1
+	}
+	return nearWeight
+}
+
+// draw returns the position of a candidate by weight, or None.
+func (k *Picker) draw(list []Candidate, skip func(int) bool, weight func(*Candidate) int) int {
 	chosen := None
 	sum := 0
 	for i := range list {
-		if !open(list, i, skip) {
+		w := weight(&list[i])
+		if w == 0 || !open(list, i, skip) {
 			continue
 		}
-		weight := 1
-		if !far && !list[i].Far {
-			weight = nearWeight
-		}
-		sum += weight
-		if k.rand.IntN(sum) < weight {
+		sum += w
+		if k.rand.IntN(sum) < w {
 			chosen = i
 		}
 	}
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -88,6 +88,8 @@
 	InFlight int
 	// Far marks another data centre.
 	Far bool
+	// Preferred endpoints are asked before the others.
+	Preferred bool
 	// Closed endpoints get no new work.
 	Closed bool
 	// WarmFrom is when the endpoint began to serve.
