Send entries one configuration for changes that come close together

Change: a replica sends the configuration at once, and then at most every 200 ms; an entry is not sent a revision that it has been sent. Ruled out: longer pauses (an acknowledgement waits up to 0.4 s until a change is in force).

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -34,6 +34,9 @@
 	presenceInterval = 500 * time.Millisecond
 	advanceInterval  = 30 * time.Second
 	storeInterval    = time.Second
+	// pushInterval is the least time between two configurations that entries are sent: far
+	// below the time in which a change is to be in force.
+	pushInterval = 200 * time.Millisecond
 	// coldStartTime is how long after its start a replica may give what it knew: some
 	// times what all replicas need to start and elect a leader.
 	coldStartTime = 5 * time.Second
@@ -263,6 +266,9 @@
 
 	// inForce is a revision that every entry in standing has; it never falls.
 	inForce uint64
+	// pushDue is set while entries wait for the configuration, until nextPush.
+	pushDue  bool
+	nextPush time.Time
 	// lagging is set while this replica hears no majority and entries are told so.
 	lagging bool
 	// departedUntil is when the entries of removed replicas have lost standing.
@@ -449,6 +455,7 @@
 	c.sayPresence(now)
 	c.expireEntries(now)
 	c.noteLagging(now)
+	c.pushInTime(now)
 	c.expireReads(now)
 	c.expireClaims(now)
 	c.advanceClaims(now)
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -333,6 +333,27 @@
 	}
 }
 
+// TestChangesThatComeCloseTogetherTravelAsOne makes 20 changes, 60 ms apart, as a script of
+// an operator may; entries must not get each of them, and must have the last one soon.
+func TestChangesThatComeCloseTogetherTravelAsOne(t *testing.T) {
+	s := ready(t, 5, 4)
+	s.run(time.Second)
+	for _, e := range s.entries {
+		e.configs = 0
+	}
+	const changes = 20
+	for i := range uint64(changes) {
+		s.apply(s.leader(), document(1+i, fmt.Sprint("change-", i)))
+		s.run(60 * time.Millisecond)
+	}
+	s.run(300 * time.Millisecond)
+	for _, e := range s.entries {
+		t.Logf("%s: %d of %d configurations", e.name, e.configs, changes)
+		assert.Equal(t, e.revision, uint64(1+changes), e.name)
+		assert.Assert(t, e.configs <= changes/2, e.name)
+	}
+}
+
 // TestReplicaThatStartedLongAgoGivesNoColdStart leaves a replica alone for longer than
 // the others need to start: what it knows may be far behind by then.
 func TestReplicaThatStartedLongAgoGivesNoColdStart(t *testing.T) {
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -21,6 +21,8 @@
 	// informed is set once the entry has got the state of this replica; from then on it
 	// is told what changes.
 	informed bool
+	// sent is the latest revision that it was sent, or was known to have.
+	sent uint64
 	// confirmed is set once a confirmed read has shown that the state that this
 	// entry got is not behind. It implies informed.
 	confirmed bool
@@ -120,22 +122,37 @@
 	c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Full: true, Changed: c.registry.All("")}})
 	if held := c.entries[conn].revision; held == 0 || held < c.committer.Revision() {
 		c.sendConfig(conn)
+	} else {
+		c.entries[conn].sent = held
 	}
 	c.do(SendEntry{Conn: conn, Message: c.replicas()})
 }
 
 func (c *Controller) sendConfig(conn Conn) {
+	c.entries[conn].sent = c.committer.Revision()
 	c.do(SendEntry{Conn: conn, Message: messenger.Configured{Revision: c.committer.Revision(), Document: c.committer.Document().WithoutSource()}})
 }
 
-// pushConfig sends the configuration to every entry that follows this replica.
+// pushConfig sends the configuration to every entry that follows this replica, soon if it
+// was done just now: changes that come close together travel as one.
 func (c *Controller) pushConfig(now time.Time) {
+	c.pushDue = true
+	c.pushInTime(now)
+	c.updateInForce(now)
+}
+
+// pushInTime sends the configuration where that is due.
+func (c *Controller) pushInTime(now time.Time) {
+	if !c.pushDue || now.Before(c.nextPush) {
+		return
+	}
+	c.pushDue = false
+	c.nextPush = now.Add(pushInterval)
 	for _, conn := range c.connections() {
-		if c.entries[conn].informed {
+		if e := c.entries[conn]; e.informed && e.sent < c.committer.Revision() {
 			c.sendConfig(conn)
 		}
 	}
-	c.updateInForce(now)
 }
 
 // connections lists the streams that are open, in a fixed order.
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -97,8 +97,9 @@
 	stream   int
 	peer     *control
 	revision uint64
-	// states counts the whole lists of endpoints that it got.
-	states int
+	// states counts the whole lists of endpoints that it got, and configs the
+	// configurations.
+	states, configs int
 	grants   []balancer.ShareGranted
 	calls    map[balancer.CallID]string
 	keys     map[balancer.CallID]string
@@ -358,6 +359,9 @@
 					if list, ok := v.Message.(messenger.Endpoints); ok && list.Full {
 						e.states++
 					}
+					if _, ok := v.Message.(messenger.Configured); ok {
+						e.configs++
+					}
 					s.handleEntry(e, subscriber.Said{Message: v.Message})
 				}
 			})
