--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,11 +26,8 @@
 		panic(err)
 	}
 	bin = folder
-	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./entry", "./control", "./standin")
-	build.Dir = "../.."
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Println(string(out))
-		os.Exit(1)
+	if err := Build("../..", bin, "./entry", "./control", "./standin"); err != nil {
+		panic(err)
 	}
 	code := m.Run()
 	_ = os.RemoveAll(folder)
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -100,10 +100,10 @@
 	// states counts the whole lists of endpoints that it got, and configs the
 	// configurations.
 	states, configs int
-	grants   []balancer.ShareGranted
-	calls    map[balancer.CallID]string
-	keys     map[balancer.CallID]string
-	lastCall balancer.CallID
+	grants          []balancer.ShareGranted
+	calls           map[balancer.CallID]string
+	keys            map[balancer.CallID]string
+	lastCall        balancer.CallID
 }
 
 // backend is a stand-in endpoint.
--- a/soaker/relayer/relayer.go
+++ b/soaker/relayer/relayer.go
@@ -114,10 +114,10 @@
 	both.Go(func() { r.pass(l, far, near, false) })
 	both.Wait()
 	l.end()
-	r.forget(l)
+	r.remove(l)
 }
 
-func (r *Relay) forget(l *link) {
+func (r *Relay) remove(l *link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, other := range r.links {
--- a/soaker/runner/soak_test.go
+++ b/soaker/runner/soak_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"comfreyplank.org/bench/stager"
 	"comfreyplank.org/soaker/checker"
 	"comfreyplank.org/soaker/planner"
 )
@@ -23,11 +21,8 @@
 		panic(err)
 	}
 	bin = folder
-	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./entry", "./control")
-	build.Dir = "../.."
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Println(string(out))
-		os.Exit(1)
+	if err := stager.Build("../..", bin, "./entry", "./control"); err != nil {
+		panic(err)
 	}
 	code := m.Run()
 	_ = os.RemoveAll(folder) // the system's folder for temporary files is emptied anyway
