Read and replace framed files in one place

Cause: found in the last read of the change: the files of endpoints, of the committed position and of the identity each read a framed file and replaced it in their own copy of the same lines; the pools of buffers named their constructor twice. The pools have no constructor, as their users make what is missing. Behaviour, checks and tests are as before.

--- a/control/journaler/committed.go
+++ b/control/journaler/committed.go
@@ -1,7 +1,6 @@
 package journaler
 
 import (
-	"os"
 	"path/filepath"
 
 	"github.com/pkg/errors"
@@ -19,25 +18,14 @@
 	if err != nil {
 		return err
 	}
-	framed, err := frame(payload)
-	if err != nil {
-		return err
-	}
-	return replace(filepath.Join(folder, committedName), framed)
+	return replaceFramed(filepath.Join(folder, committedName), payload)
 }
 
 // LoadCommitted returns the position that was stored last, or zero.
 func LoadCommitted(folder string) (replicator.Position, error) {
-	data, err := os.ReadFile(filepath.Join(folder, committedName))
-	if os.IsNotExist(err) {
-		return replicator.Position{}, nil
-	}
-	if err != nil {
-		return replicator.Position{}, errors.Wrap(err, "read committed")
-	}
-	payload, _, ok := parse(data)
-	if !ok {
-		return replicator.Position{}, errors.Wrap(ErrDamaged, committedName)
+	payload, err := readFramed(filepath.Join(folder, committedName))
+	if err != nil || payload == nil {
+		return replicator.Position{}, err
 	}
 	f, err := encoder.DecodeFrame(payload)
 	if err != nil {
--- a/control/journaler/endpoints.go
+++ b/control/journaler/endpoints.go
@@ -1,11 +1,8 @@
 package journaler
 
 import (
-	"os"
 	"path/filepath"
 
-	"github.com/pkg/errors"
-
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/shell/encoder"
 )
@@ -18,25 +15,14 @@
 	if err != nil {
 		return err
 	}
-	framed, err := frame(payload)
-	if err != nil {
-		return err
-	}
-	return replace(filepath.Join(folder, endpointsName), framed)
+	return replaceFramed(filepath.Join(folder, endpointsName), payload)
 }
 
 // LoadEndpoints returns the endpoints that were stored last, or none.
 func LoadEndpoints(folder string) ([]registrar.Announcement, error) {
-	data, err := os.ReadFile(filepath.Join(folder, endpointsName))
-	if os.IsNotExist(err) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "read endpoints")
-	}
-	payload, _, ok := parse(data)
-	if !ok {
-		return nil, errors.Wrap(ErrDamaged, endpointsName)
+	payload, err := readFramed(filepath.Join(folder, endpointsName))
+	if err != nil || payload == nil {
+		return nil, err
 	}
 	return encoder.DecodeAnnouncements(payload)
 }
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -33,18 +33,8 @@
 
 // readIdentity returns an empty identity for a disk without one.
 func readIdentity(path string) (replicator.ID, error) {
-	data, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
-		return "", nil
-	}
-	if err != nil {
-		return "", errors.Wrap(err, "read identity")
-	}
-	id, _, ok := parse(data)
-	if !ok {
-		return "", errors.Wrap(ErrDamaged, identityName)
-	}
-	return replicator.ID(id), nil
+	id, err := readFramed(path)
+	return replicator.ID(id), err
 }
 
 func complete(folder string, logs []string) bool {
@@ -69,9 +59,5 @@
 		}
 	}
 	id := uuid.NewString()
-	framed, err := frame([]byte(id))
-	if err != nil {
-		return "", err
-	}
-	return replicator.ID(id), replace(filepath.Join(folder, identityName), framed)
+	return replicator.ID(id), replaceFramed(filepath.Join(folder, identityName), []byte(id))
 }
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -216,11 +216,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := frame(payload)
-	if err != nil {
-		return err
-	}
-	if err := replace(j.path(snapshotName), data); err != nil {
+	if err := replaceFramed(j.path(snapshotName), payload); err != nil {
 		return err
 	}
 	return j.begin(j.state, encoder.Base{Index: s.Index, Term: s.Term}, rest)
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -72,10 +72,7 @@
 }
 
 // readers and writers hold the buffers that no connection uses: most connections are idle.
-var (
-	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
-	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
-)
+var readers, writers sync.Pool
 
 // begin gives the connection a buffer to read with.
 func (c *connection) begin() {
