Close no caller's connection on which a request is served

Ruled out: the notice, which had passed in both findings; the grace time, of which seconds were left. Change: keeper knows which connections serve a request. Closing one of them does nothing until the answer is sent; a request that is read from a closed one is not passed on. The stop waits for what is served. In the soak, each sending has a name of its own, endpoints record it, and the check asks for the runs of just that sending. Test first: entry/keeper; both fail with the standard server alone, where the handler is called and the caller gets an end of file. The checker tells runs apart by sending.

--- /dev/null
+++ b/entry/keeper/keeper_test.go
@@ -0,0 +1,133 @@
+package keeper_test
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/entry/keeper"
+)
+
+// crossing holds a request back where the server does not know of it yet.
+type crossing struct {
+	net.Conn
+	hold chan struct{}
+	// read is told of each request that is held back, which goes on with free.
+	read, free chan struct{}
+}
+
+// Read is part of net.Conn.
+func (c *crossing) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.hold:
+		if n > 0 {
+			c.read <- struct{}{}
+			<-c.free
+		}
+	default:
+	}
+	return n, err
+}
+
+// crossed accepts connections that hold requests back.
+type crossed struct {
+	net.Listener
+	hold, read, free chan struct{}
+}
+
+// Accept is part of net.Listener.
+func (l *crossed) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &crossing{Conn: c, hold: l.hold, read: l.read, free: l.free}, nil
+}
+
+func request(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	assert.NilError(t, err)
+}
+
+// TestRequestThatCrossesTheShutdown: a request that the server reads while it closes idle
+// connections is not served, as its answer could not come.
+func TestRequestThatCrossesTheShutdown(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &crossed{Listener: raw, hold: make(chan struct{}), read: make(chan struct{}, 1), free: make(chan struct{})}
+	k := keeper.New()
+	var served atomic.Int64
+	server := &http.Server{Handler: k.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))}
+	k.Watch(server)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(l)), http.ErrServerClosed)) })
+	c, err := net.Dial("tcp", raw.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	request(t, c)
+	_, err = http.ReadResponse(answers, nil)
+	assert.NilError(t, err)
+
+	close(l.hold)
+	request(t, c)
+	<-l.read
+	assert.NilError(t, server.Shutdown(t.Context()))
+	close(l.free)
+	_, err = http.ReadResponse(answers, nil)
+	assert.Check(t, err != nil, "the connection was closed")
+	time.Sleep(settleTime)
+	assert.Equal(t, served.Load(), int64(1))
+}
+
+// settleTime is how long a handler would take to be called.
+const settleTime = 50 * time.Millisecond
+
+// TestConnectionStaysOpenForWhatIsServed: a connection that is closed as idle while its next
+// request has just reached the handler is kept until that is answered.
+func TestConnectionStaysOpenForWhatIsServed(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	k := keeper.New()
+	accepted := make(chan net.Conn, 1)
+	serving, answer := make(chan struct{}), make(chan struct{})
+	server := &http.Server{
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				accepted <- c
+			}
+		},
+		Handler: k.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(serving)
+			<-answer
+			w.WriteHeader(http.StatusNoContent)
+		})),
+	}
+	k.Watch(server)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(raw)), http.ErrServerClosed)) })
+	c, err := net.Dial("tcp", raw.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	request(t, c)
+	<-serving
+	assert.Equal(t, k.Serving(), 1)
+	assert.NilError(t, (<-accepted).Close()) // as the server does when it took the connection for idle
+	close(answer)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusNoContent)
+	assert.NilError(t, server.Shutdown(t.Context()))
+	assert.Equal(t, k.Serving(), 0)
+}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -22,6 +22,7 @@
 	"comfreyplank.org/entry/counter"
 	"comfreyplank.org/entry/dispatcher"
 	"comfreyplank.org/entry/follower"
+	"comfreyplank.org/entry/keeper"
 	"comfreyplank.org/entry/server"
 	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
@@ -102,9 +103,11 @@
 	dispatcher *dispatcher.Dispatcher
 	follower   *follower.Follower
 	server     *server.Server
-	group      sync.WaitGroup
-	ctx        context.Context //nolint:containedctx // the life of the instance
-	cancel     context.CancelFunc
+	// keeper holds callers' connections while requests on them are served.
+	keeper *keeper.Keeper
+	group  sync.WaitGroup
+	ctx    context.Context //nolint:containedctx // the life of the instance
+	cancel context.CancelFunc
 }
 
 // New returns an entry that is not running yet.
@@ -114,6 +117,7 @@
 		change:   func(*dispatcher.Surroundings) {},
 		public:   func(s *server.Server, calls http.Handler) http.Handler { return s.Public(calls) },
 		events:   publisher.DefaultCapacity,
+		keeper:   keeper.New(),
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -153,7 +157,8 @@
 
 // Run serves until the stop context ends and everything in flight has ended.
 func (i *Runner) Run(stop context.Context) error {
-	public := newServer(i.public(i.server, i.dispatcher))
+	public := newServer(i.keeper.Handler(i.public(i.server, i.dispatcher)))
+	i.keeper.Watch(public)
 	admin := newServer(i.server.Admin(i.publisher))
 	publicListener, err := net.Listen("tcp", i.settings.Listen)
 	if err != nil {
@@ -173,7 +178,7 @@
 		i.group.Go(func() { i.narrator.Run(i.ctx) })
 	}
 	i.group.Go(func() { logError("time line", i.publisher.Run(i.ctx)) })
-	i.group.Go(func() { logError("callers' server", public.Serve(publicListener)) })
+	i.group.Go(func() { logError("callers' server", public.Serve(i.keeper.Listener(publicListener))) })
 	i.group.Go(func() { logError("administration server", admin.Serve(adminListener)) })
 	i.publish(recorder.Event{Kind: recorder.KindStarted})
 	slog.Info("serving", "listen", i.settings.Listen, "admin", i.settings.Admin)
@@ -230,7 +235,7 @@
 	if err := public.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests were still in flight")
 	}
-	for d.Phase() != drainer.PhaseDone || !i.follower.Settled() {
+	for d.Phase() != drainer.PhaseDone || !i.follower.Settled() || i.keeper.Serving() > 0 {
 		if ctx.Err() != nil {
 			return errors.New("attempts or claims were still in flight")
 		}
--- a/soaker/checker/checker.go
+++ b/soaker/checker/checker.go
@@ -46,6 +46,8 @@
 	violations []string
 	calls      map[string]*call
 	runs       map[string]int
+	// passedOn are the sendings of calls that endpoints began to run.
+	passedOn map[string]bool
 	// departures are by endpoint.
 	departures map[string]time.Time
 	// inForce is the highest revision that is in force everywhere, and changes what was
@@ -65,7 +67,7 @@
 // New returns a checker that has seen nothing.
 func New() *Checker {
 	return &Checker{
-		calls: make(map[string]*call), runs: make(map[string]int), departures: make(map[string]time.Time),
+		calls: make(map[string]*call), runs: make(map[string]int), passedOn: make(map[string]bool), departures: make(map[string]time.Time),
 		changes: make(map[uint64]string), outcomes: make(map[Outcome]int),
 	}
 }
@@ -81,21 +83,22 @@
 	c.violations = append(c.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// Ran notes that an endpoint began to run a call.
-func (c *Checker) Ran(now time.Time, endpoint, id string) {
+// Ran notes that an endpoint began to run a call, for one of its sendings.
+func (c *Checker) Ran(now time.Time, endpoint, id, sending string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[id]++
+	c.passedOn[sending] = true
 	if left, ok := c.departures[endpoint]; ok && now.Sub(left) > leaveBound {
 		c.violate("%s runs %s, %s after its departure was acknowledged", endpoint, id, now.Sub(left).Round(time.Millisecond))
 	}
 }
 
-// Runs returns how often a call has run.
-func (c *Checker) Runs(id string) int {
+// PassedOn reports whether a call has run for one of its sendings.
+func (c *Checker) PassedOn(sending string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.runs[id]
+	return c.passedOn[sending]
 }
 
 // Left notes that an endpoint's departure was acknowledged.
--- a/soaker/runner/caller.go
+++ b/soaker/runner/caller.go
@@ -83,9 +83,9 @@
 	c.calls++
 	id := fmt.Sprintf("%s-%d", c.name, c.calls)
 	extra := c.rand.IntN(maxExtra)
-	for range sendings {
+	for n := range sendings {
 		h := c.entries[c.rand.IntN(len(c.entries))]
-		outcome := c.send(h, k, id, extra)
+		outcome := c.send(h, k, sending{call: id, name: fmt.Sprintf("%s/%d", id, n+1), extra: extra})
 		if outcome == 0 {
 			continue // nobody listens there
 		}
@@ -96,24 +96,31 @@
 	}
 }
 
+// sending is one sending of a call.
+type sending struct {
+	call, name string
+	// extra is how many bytes the caller asks for beside what it sent.
+	extra int
+}
+
 // send sends a call once, and returns zero when no connection was to be had.
-func (c *caller) send(h *host, k kind, id string, extra int) checker.Outcome {
+func (c *caller) send(h *host, k kind, s sending) checker.Outcome {
 	l, err := c.connect(h)
 	if err != nil {
 		return 0
 	}
 	begun := time.Now()
-	a, err := l.exchange(k, id, extra)
+	a, err := l.exchange(k, s)
 	if err != nil {
 		_ = l.conn.Close() // it is broken
 		delete(c.open, h)
-		return c.broken(h, l, id, begun, err)
+		return c.broken(h, l, s, begun, err)
 	}
 	if a.last {
 		_ = l.conn.Close() // as the entry asks
 		delete(c.open, h)
 	}
-	return c.judge(a, id, extra)
+	return c.judge(a, s.call, s.extra)
 }
 
 func (c *caller) connect(h *host) (*line, error) {
@@ -140,14 +147,15 @@
 	last bool
 }
 
-func (l *line) exchange(k kind, id string, extra int) (answer, error) {
-	request, err := http.NewRequest(k.method, "http://"+l.conn.RemoteAddr().String()+k.path+"?bytes="+strconv.Itoa(extra), strings.NewReader("pack "+id))
+func (l *line) exchange(k kind, s sending) (answer, error) {
+	request, err := http.NewRequest(k.method, "http://"+l.conn.RemoteAddr().String()+k.path+"?bytes="+strconv.Itoa(s.extra), strings.NewReader("pack "+s.call))
 	if err != nil {
 		return answer{}, err
 	}
-	request.Header.Set("X-Mark", id)
+	request.Header.Set("X-Mark", s.call)
+	request.Header.Set("X-Sending", s.name)
 	if k.keyed {
-		request.Header.Set("Idempotency-Key", id)
+		request.Header.Set("Idempotency-Key", s.call)
 	}
 	if err := l.conn.SetDeadline(time.Now().Add(callTime)); err != nil {
 		return answer{}, err
@@ -167,14 +175,15 @@
 
 // broken judges a connection that ended without an answer. A planned stop must not cut
 // off what the entry has read or passed on.
-func (c *caller) broken(h *host, l *line, id string, begun time.Time, err error) checker.Outcome {
+func (c *caller) broken(h *host, l *line, s sending, begun time.Time, err error) checker.Outcome {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return checker.Unknown
 	}
 	at, stopping := h.stopping(l.life)
-	if stopping && (begun.Before(at.Add(-surelyRead)) || c.check.Runs(id) > 0) {
-		c.check.Violated("%s was cut off by the planned stop of %s: sent %s before it, has run %d times: %v",
-			id, h.process.Name, at.Sub(begun).Round(time.Millisecond), c.check.Runs(id), err)
+	passedOn := c.check.PassedOn(s.name)
+	if stopping && (begun.Before(at.Add(-surelyRead)) || passedOn) {
+		c.check.Violated("%s was cut off by the planned stop of %s: sent %s before it, passed on: %t: %v",
+			s.name, h.process.Name, at.Sub(begun).Round(time.Millisecond), passedOn, err)
 	}
 	return checker.Broken
 }
--- a/soaker/runner/soak.go
+++ b/soaker/runner/soak.go
@@ -181,7 +181,8 @@
 
 // Write is part of io.Writer.
 func (r runs) Write(line []byte) (int, error) {
-	r.check.Ran(time.Now(), r.endpoint, string(bytes.TrimSpace(line)))
+	id, sending, _ := bytes.Cut(bytes.TrimSpace(line), []byte(" "))
+	r.check.Ran(time.Now(), r.endpoint, string(id), string(sending))
 	return len(line), nil
 }
 
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -35,7 +35,8 @@
 	Entries     []string
 	AnnounceKey string
 	Behaviour   Behaviour
-	// Record gets a line with the key of each run, as it happens.
+	// Record gets a line with the key of each run, as it happens, and the X-Sending header
+	// that came with it.
 	Record io.Writer
 }
 
@@ -319,7 +320,7 @@
 		r.runs[key]++
 	}
 	if r.settings.Record != nil {
-		_, _ = fmt.Fprintln(r.settings.Record, key) // the reader finds it missing
+		_, _ = fmt.Fprintln(r.settings.Record, key, req.Header.Get("X-Sending")) // the reader finds it missing
 	}
 }
 
