Call an entry's machines only when something is due

Cause: an entry at rest took 1.2% of a core at 1.7 requests a second. Its shell called the balancer of each service each 5 ms while one call was in flight, and each 100 ms otherwise; each 20 ms the balancer went over all endpoints and sorted their latencies; the subscriber was called each 100 ms and went over all leases; the log had a tick of its own. Change: balancer and subscriber say when they are next due, and their shells keep one timer each. Timers of calls that need nothing any more are passed over. Endpoints are looked over when an input, an ejection's end or the end of standing changes what may be chosen; latencies when there are new ones and a choice needs them. Leases end by a heap with one deadline each. Commands wait in the order in which they are sent again. Connections are trimmed only while there are idle ones. All former tests now call the machines only when they are due.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -21,9 +21,6 @@
 	"comfreyplank.org/core/validator"
 )
 
-// TickInterval is how often the caller should hand in a Tick.
-const TickInterval = 5 * time.Millisecond
-
 // Quiet times after which a connection is not used any more.
 const (
 	// OnceQuiet is the longest that a connection for a once-only request may have
@@ -115,10 +112,20 @@
 	// standingUntil is when this entry's standing ends, unless renewed.
 	standingUntil time.Time
 	// quantile estimates the latency that most answers stay below.
-	quantile   quantile
-	entries    int
-	probePath  string
-	nextReview time.Time
+	quantile  quantile
+	entries   int
+	probePath string
+	// latenciesChanged is set when a latency has changed since the typical one was taken,
+	// which is done again from nextTypical on.
+	latenciesChanged bool
+	nextTypical      time.Time
+	// changeAt is when time alone may open or close an endpoint next, and subsetChanged is
+	// set when another subset may have to be chosen.
+	changeAt      time.Time
+	subsetChanged bool
+	// probeAt is when a probe may be due; zero for never.
+	probeAt   time.Time
+	lastProbe time.Time
 	// settled is set once endpoints are known; those that come later start cold.
 	settled bool
 
@@ -175,6 +182,7 @@
 // Handle reacts to one input. The actions are valid until the next call.
 func (b *Balancer) Handle(now time.Time, in Input) []Action {
 	b.actions = b.actions[:0]
+	b.refresh(now)
 	switch v := in.(type) {
 	case Arrived:
 		b.onArrived(now, v.Call)
@@ -189,29 +197,36 @@
 	case Reconfigured:
 		b.onReconfigured(now, v)
 	case StandingChanged:
-		b.standingUntil = v.Until
-		b.review(now)
+		b.onStandingChanged(now, v.Until)
 	case ShareGranted:
 		b.prober.Grant(now, v.Share, v.Until)
+		b.probeSoon(now)
 	case ProbeEnded:
 		b.onProbeEnded(now, v)
 	case Tick:
 		b.tick(now)
 	}
+	b.probe(now)
 	return b.actions
 }
 
+// onStandingChanged renews or ends the standing. A renewal changes no endpoint.
+func (b *Balancer) onStandingChanged(now, until time.Time) {
+	renewed := b.inStanding(now) && now.Before(until)
+	b.standingUntil = until
+	if renewed || b.outlives {
+		return
+	}
+	b.review(now)
+	b.probeSoon(now)
+	b.drainQueue(now)
+}
+
 func (b *Balancer) tick(now time.Time) {
 	b.fire(now)
 	for _, id := range b.queue.Expired(now) {
 		b.refuse(now, b.calls[CallID(id)], ReasonDeadline)
 	}
-	if now.Before(b.nextReview) {
-		return
-	}
-	b.nextReview = now.Add(reviewInterval)
-	b.review(now)
-	b.probe(now)
 }
 
 // inStanding reports whether this entry is known to be up to date.
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -7,14 +7,12 @@
 	"comfreyplank.org/core/limiter"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/picker"
-	"comfreyplank.org/core/prober"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 )
 
 // Tuning of ejection.
 const (
-	reviewInterval = 20 * time.Millisecond
 	// failuresToEject is how many attempts in a row must fail.
 	failuresToEject = 5
 	// ejectionBase is the first ejection; each one in a row is twice as long.
@@ -101,6 +99,7 @@
 	b.settled = len(b.endpoints) > 0
 	b.removeGone()
 	b.review(now)
+	b.probeSoon(now)
 	b.drainQueue(now)
 }
 
@@ -178,9 +177,9 @@
 	b.order()
 }
 
-// review recomputes what the choice may use.
+// review recomputes what the choice may use of all endpoints.
 func (b *Balancer) review(now time.Time) {
-	b.picker.Review(b.candidates)
+	b.changeAt = time.Time{}
 	for i, e := range b.endpoints {
 		b.reviewOne(now, i, e)
 	}
@@ -192,12 +191,14 @@
 	c.Slots = max(1, e.Slots)
 	c.Far = e.Far
 	c.Limit = b.limitOf(e)
-	c.Closed = !b.accepts(now, e)
-	if !e.ejected() {
-		return
+	closed := !b.accepts(now, e)
+	if e.ejected() {
+		c.Limit = 1
+		closed = closed || now.Before(e.ejectedUntil) || e.trial
 	}
-	c.Limit = 1
-	c.Closed = c.Closed || now.Before(e.ejectedUntil) || e.trial
+	b.subsetChanged = b.subsetChanged || closed != c.Closed
+	c.Closed = closed
+	b.changeAt = earliest(b.changeAt, b.changesAt(now, e))
 }
 
 // oldest keeps the candidate's view of what is in flight.
@@ -228,6 +229,7 @@
 // failed takes note of a failure, and ejects the endpoint after several in a row.
 func (b *Balancer) failed(now time.Time, e *endpoint) {
 	b.picker.Failed(now, &b.candidates[e.at])
+	b.latenciesChanged = true
 	b.candidates[e.at].Learned(now, failureRatio)
 	e.failures++
 	again := e.ejected() && e.trial
@@ -279,6 +281,9 @@
 	switch r.State {
 	case registrar.StateServing:
 		e.Direct = now
+		if !b.outlives && !b.inStanding(now) {
+			b.reviewOne(now, e.at, e)
+		}
 	case registrar.StateDraining, registrar.StateStarting:
 		b.noteStop(e, e.withState(r.State))
 		e.State = r.State
@@ -302,25 +307,6 @@
 	return list
 }
 
-// probe spends the share on the endpoint whose evidence is oldest.
-func (b *Balancer) probe(now time.Time) {
-	oldest := picker.None
-	for i, e := range b.endpoints {
-		if e.probing || !b.accepts(now, e) || now.Sub(e.evidence) < prober.Stale {
-			continue
-		}
-		if oldest < 0 || e.evidence.Before(b.endpoints[oldest].evidence) {
-			oldest = i
-		}
-	}
-	if oldest < 0 || !b.prober.Pay(now) {
-		return
-	}
-	e := b.endpoints[oldest]
-	e.probing = true
-	b.do(Probe{Endpoint: e.name(), Address: e.Address, Path: b.probePath, Deadline: now.Add(prober.Timeout)})
-}
-
 func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
 	if i := b.position(v.Endpoint); i >= 0 && v.Misdirected {
 		b.displace(now, b.endpoints[i])
@@ -337,6 +323,7 @@
 	e := b.endpoints[i]
 	e.probing = false
 	e.evidence = now
+	b.probeSoon(now)
 	if v.OK {
 		b.reported(now, e, v.Report, len(e.flights))
 	}
--- a/core/balancer/subset.go
+++ b/core/balancer/subset.go
@@ -28,6 +28,7 @@
 
 // chooseSubset marks the endpoints that are asked first: the first by rank that take work.
 func (b *Balancer) chooseSubset() {
+	b.subsetChanged = false
 	near, far := nearSubset, farSubset
 	for _, e := range b.ranked {
 		c := &b.candidates[e.at]
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -42,6 +42,7 @@
 
 func (b *Balancer) schedule(at time.Time, id CallID, kind timerKind) {
 	heap.Push(&b.timers, timer{at, id, kind})
+	b.trimTimers()
 }
 
 // spareTimers is how many timers of ended calls may wait besides those of live ones.
@@ -63,15 +64,38 @@
 	heap.Init(&b.timers)
 }
 
+// dropDead takes off the timers at the top that have nothing to do any more.
+func (b *Balancer) dropDead() {
+	for len(b.timers) > 0 && !b.isLive(b.timers[0]) {
+		heap.Pop(&b.timers)
+	}
+}
+
+// isLive reports whether there is something to do when the timer is due.
+func (b *Balancer) isLive(t timer) bool {
+	c, ok := b.calls[t.call]
+	if !ok {
+		return false
+	}
+	switch t.kind {
+	case timerHedge:
+		return c.phase == phaseRunning
+	case timerClaim:
+		return c.phase == phaseWaiting
+	case timerSampling:
+		return (c.phase == phaseSampling || c.phase == phaseHeld) && !t.at.Before(c.sampleDue)
+	}
+	return true
+}
+
 // fire handles the timers that are due.
 func (b *Balancer) fire(now time.Time) {
-	b.trimTimers()
 	for len(b.timers) > 0 && !now.Before(b.timers[0].at) {
 		t := heap.Pop(&b.timers).(timer) //nolint:forcetypeassert // only timers are pushed
-		c, ok := b.calls[t.call]
-		if !ok {
+		if !b.isLive(t) {
 			continue
 		}
+		c := b.calls[t.call]
 		switch t.kind {
 		case timerHedge:
 			b.onHedgeDue(now, c)
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -249,8 +249,7 @@
 	}
 	for _, e := range s.entries {
 		if e.up {
-			s.handleEntry(e, subscriber.Tick{Leaving: e.balancer.Leaving()})
-			s.handleBalancer(e, balancer.Tick{})
+			s.wakeEntry(e)
 		}
 	}
 	if s.now.UnixMilli()%1000 == 0 {
@@ -259,6 +258,18 @@
 	s.check()
 }
 
+// wakeEntry calls the machines of an entry that are due.
+func (s *system) wakeEntry(e *entry) {
+	if isDue(s.now, e.machine.Due()) {
+		s.handleEntry(e, subscriber.Tick{Leaving: e.balancer.Leaving()})
+	}
+	if isDue(s.now, e.balancer.Due()) {
+		s.handleBalancer(e, balancer.Tick{})
+	}
+}
+
+func isDue(now, due time.Time) bool { return !due.IsZero() && !now.Before(due) }
+
 func (s *system) announceAll() {
 	for _, b := range s.backends {
 		s.announce(b, s.entries[s.rand.IntN(len(s.entries))])
--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -19,6 +19,8 @@
 	Stale = 250 * time.Millisecond
 	// burst is how much of a share may be saved up.
 	burst = time.Second
+	// payGrain is how exactly it is foretold when a probe can be paid.
+	payGrain = time.Millisecond
 )
 
 // Prober spends one service's share. The zero value has nothing to spend.
@@ -76,6 +78,25 @@
 	return true
 }
 
+// PayableAt returns when the share will have yielded the price of a probe; zero when that
+// is not before it ends.
+func (p *Prober) PayableAt(now time.Time) time.Time {
+	p.refill(now)
+	if p.share.ProbeMicros <= 0 || p.share.ProbeBytes <= 0 {
+		return time.Time{}
+	}
+	micros := (float64(Timeout.Microseconds()) - p.micros) / float64(p.share.ProbeMicros)
+	bytes := (Bytes - p.bytes) / float64(p.share.ProbeBytes)
+	wait := time.Duration(max(0, micros, bytes) * float64(time.Second))
+	if wait > 0 {
+		wait = wait.Truncate(payGrain) + payGrain
+	}
+	if at := now.Add(wait); at.Before(p.until) {
+		return at
+	}
+	return time.Time{}
+}
+
 // Refund gives back what a probe did not use.
 func (p *Prober) Refund(took time.Duration) {
 	p.micros += float64(max(0, Timeout-took).Microseconds())
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -116,11 +116,13 @@
 // Registry holds announcements until their leases end. A goodbye is held too,
 // so that a late announcement can't bring the endpoint back.
 type Registry struct {
-	records map[Name]record
+	records map[Name]*record
 	lease   time.Duration
 	// expired are the last words of endpoints whose lease has ended, kept for a while:
 	// another replica may pass them on once more.
-	expired map[Name]record
+	expired map[Name]*record
+	// deadlines say when records end, none of them later than that.
+	deadlines deadlines
 	// owners is set where an address belongs to the latest incarnation that
 	// announces it; incarnations are then comparable between endpoints.
 	owners map[string]Name
@@ -140,7 +142,7 @@
 
 // New returns an empty registry.
 func New(opts ...Option) *Registry {
-	r := &Registry{records: make(map[Name]record), expired: make(map[Name]record), lease: Lease}
+	r := &Registry{records: make(map[Name]*record), expired: make(map[Name]*record), lease: Lease}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -163,8 +165,15 @@
 	case !r.own(a):
 		return OutcomeStale
 	}
-	r.records[a.Name] = record{announcement: a, expires: now.Add(r.lease)}
-	if known && a.same(old.announcement) {
+	if !known {
+		rec := &record{a, now.Add(r.lease)}
+		r.records[a.Name] = rec
+		r.watch(rec)
+		return OutcomeChanged
+	}
+	renewed := a.same(old.announcement)
+	*old = record{a, now.Add(r.lease)}
+	if renewed {
 		return OutcomeRenewed
 	}
 	return OutcomeChanged
@@ -185,14 +194,11 @@
 	if r.owners == nil || a.Gone {
 		return true
 	}
-	owner, ok := r.records[r.owners[a.Address]]
-	former := owner.announcement
-	if ok && former.Name != a.Name && former.Address == a.Address {
-		if former.Incarnation > a.Incarnation {
+	if owner, ok := r.records[r.owners[a.Address]]; ok && owner.announcement.Name != a.Name && owner.announcement.Address == a.Address {
+		if owner.announcement.Incarnation > a.Incarnation {
 			return false
 		}
-		former.Gone = true
-		r.records[former.Name] = record{announcement: former, expires: owner.expires}
+		owner.announcement.Gone = true
 	}
 	r.owners[a.Address] = a.Name
 	return true
@@ -208,29 +214,30 @@
 
 // Find returns what is known of an endpoint.
 func (r *Registry) Find(name Name) (Announcement, bool) {
-	rec, ok := r.records[name]
-	return rec.announcement, ok
+	if rec, ok := r.records[name]; ok {
+		return rec.announcement, true
+	}
+	return Announcement{}, false
 }
 
 // Expire forgets the endpoints whose leases have ended, and returns them.
 func (r *Registry) Expire(now time.Time) []Announcement {
 	var expired []Announcement
-	for name, rec := range r.records {
-		if now.Before(rec.expires) {
+	for rec := r.takeDue(now); rec != nil; rec = r.takeDue(now) {
+		name := rec.announcement.Name
+		if r.expired[name] == rec {
+			delete(r.expired, name)
 			continue
 		}
 		delete(r.records, name)
-		r.expired[name] = record{rec.announcement, now.Add(expiredKept * r.lease)}
 		if r.owners != nil && r.owners[rec.announcement.Address] == name {
 			delete(r.owners, rec.announcement.Address)
 		}
+		last := &record{rec.announcement, now.Add(expiredKept * r.lease)}
+		r.expired[name] = last
+		r.watch(last)
 		expired = append(expired, rec.announcement)
 	}
-	for name, rec := range r.expired {
-		if !now.Before(rec.expires) {
-			delete(r.expired, name)
-		}
-	}
 	slices.SortFunc(expired, compare)
 	return expired
 }
--- a/core/subscriber/command.go
+++ b/core/subscriber/command.go
@@ -1,6 +1,8 @@
 package subscriber
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"comfreyplank.org/core/balancer"
@@ -38,6 +40,7 @@
 		return
 	}
 	c.sentAt = now
+	s.resends = append(s.resends, request)
 	s.do(Send{Message: messenger.Claiming{Request: request, Command: c.Command.Command}})
 }
 
@@ -45,10 +48,30 @@
 	if !s.connected {
 		return
 	}
-	for request, c := range s.commands {
-		if now.Sub(c.sentAt) >= commandAgain {
-			s.sendCommand(now, request, c)
+	for c := s.nextResend(); c != nil && now.Sub(c.sentAt) >= commandAgain; c = s.nextResend() {
+		request := s.resends[0]
+		s.resends = s.resends[1:]
+		s.sendCommand(now, request, c)
+	}
+}
+
+// nextResend returns the command that was sent first of those that wait for an answer, or
+// nil.
+func (s *Subscriber) nextResend() *command {
+	for len(s.resends) > 0 {
+		if c, ok := s.commands[s.resends[0]]; ok {
+			return c
 		}
+		s.resends = s.resends[1:]
+	}
+	return nil
+}
+
+// sendAllCommands sends what waits for an answer on a new stream, oldest first.
+func (s *Subscriber) sendAllCommands(now time.Time) {
+	s.resends = nil
+	for _, request := range slices.Sorted(maps.Keys(s.commands)) {
+		s.sendCommand(now, request, s.commands[request])
 	}
 }
 
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -53,16 +53,25 @@
 // unless they are listed again: the replica may have started just now, and hear of
 // them with their next announcement.
 func (s *Subscriber) startList(now time.Time) {
+	until := now.Add(registrar.Lease)
 	for name := range s.relayed {
 		if _, ok := s.unlisted[name]; !ok {
-			s.unlisted[name] = now.Add(registrar.Lease)
+			s.unlisted[name] = until
 		}
 	}
+	if s.unlistedAt.IsZero() {
+		s.unlistedAt = until
+	}
 }
 
 func (s *Subscriber) dropUnlisted(now time.Time) {
+	if s.unlistedAt.IsZero() || now.Before(s.unlistedAt) {
+		return
+	}
+	s.unlistedAt = time.Time{}
 	for name, until := range s.unlisted {
 		if now.Before(until) {
+			s.unlistedAt = earliest(s.unlistedAt, until)
 			continue
 		}
 		delete(s.unlisted, name)
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -49,11 +49,8 @@
 	if list := s.direct.List(""); len(list) > 0 {
 		s.do(Send{Message: messenger.Announced{Announcements: list}})
 	}
-	for _, c := range s.commands {
-		c.sentAt = time.Time{}
-	}
 	s.sendBeat(now)
-	s.resendCommands(now)
+	s.sendAllCommands(now)
 }
 
 func (s *Subscriber) disconnect() {
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -17,13 +17,6 @@
 	"comfreyplank.org/core/validator"
 )
 
-// How often the caller should hand in a Tick: while the entry follows a replica, and
-// while it looks for one.
-const (
-	TickInterval   = 100 * time.Millisecond
-	SearchInterval = 20 * time.Millisecond
-)
-
 // Timing of a subscriber.
 const (
 	// reconnectMin and reconnectMax bound the wait after a stream has ended or could not
@@ -206,13 +199,18 @@
 	// unlisted are relayed endpoints that the present replica did not list, with the
 	// time at which they are forgotten: it may have started just now.
 	unlisted map[registrar.Name]time.Time
-	direct   *registrar.Registry
-	heard    map[registrar.Name]time.Time
+	// unlistedAt is not later than the first of these times; zero when there is none.
+	unlistedAt time.Time
+	direct     *registrar.Registry
+	heard      map[registrar.Name]time.Time
 	// stopAt is when the next scheduled stop comes.
 	stopAt time.Time
 
 	lastRequest uint64
 	commands    map[uint64]*command
+	// resends are the commands in the order in which they are to be sent again, also some
+	// that have been answered.
+	resends []uint64
 
 	actions []Action
 }
@@ -289,9 +287,6 @@
 	return ok || !s.configured
 }
 
-// Following reports whether the entry has a stream to a replica.
-func (s *Subscriber) Following() bool { return s.connected }
-
 // Standing reports whether the entry is known to be up to date.
 func (s *Subscriber) Standing(now time.Time) bool { return now.Before(s.standingUntil) }
 
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -157,43 +157,10 @@
 	return n
 }
 
-const (
-	// idleInterval is how often time passes in the balancers of an idle entry.
-	idleInterval = 100 * time.Millisecond
-	trimInterval = time.Second
-)
-
-// Run lets time pass in every balancer until the context ends.
+// Run waits for the context to end, and keeps the balancers from being called after that.
 func (d *Dispatcher) Run(ctx context.Context) {
-	timer := time.NewTimer(idleInterval)
-	defer timer.Stop()
-	var trimmed time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-timer.C:
-			trim := now.Sub(trimmed) >= trimInterval
-			if trim {
-				trimmed = now
-			}
-			timer.Reset(d.pass(trim))
-		}
-	}
-}
-
-// pass lets time pass once, and returns when to do it again.
-func (d *Dispatcher) pass(trim bool) time.Duration {
-	next := idleInterval
-	d.each(func(l *lane) {
-		if l.tick() {
-			next = balancer.TickInterval
-		}
-		if trim {
-			l.forwarder.Trim(balancer.AnyQuiet)
-		}
-	})
-	return next
+	<-ctx.Done()
+	d.each(func(l *lane) { l.end() })
 }
 
 // ServeHTTP answers a caller's request.
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -99,10 +99,14 @@
 	attempts map[balancer.AttemptID]*attempt
 	// addresses tells where endpoints are, for closing their connections.
 	addresses map[string]string
+	// timer calls the balancer at due; zero while nothing is due.
+	timer *time.Timer
+	due   time.Time
+	ended bool
 }
 
 func newLane(instance string, service validator.Service, around Surroundings) *lane {
-	return &lane{
+	l := &lane{
 		service:   service.Name,
 		around:    around,
 		forwarder: forwarder.New(around.Now, around.Endpoints, around.Inbound),
@@ -111,13 +115,50 @@
 		attempts:  make(map[balancer.AttemptID]*attempt),
 		addresses: make(map[string]string),
 	}
+	l.timer = time.AfterFunc(neverDue, l.wake)
+	return l
+}
+
+// neverDue is how far a timer is set that is not needed yet.
+const neverDue = 24 * time.Hour
+
+// wake lets time pass in the balancer.
+func (l *lane) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.due = time.Time{}
+	l.step(balancer.Tick{})
+}
+
+// end keeps the balancer from being called by its timer.
+func (l *lane) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	l.timer.Stop()
+	l.forwarder.Close()
+}
+
+// step hands an input to the balancer, carries out its actions and sets the timer.
+func (l *lane) step(in balancer.Input) {
+	l.carryOut(l.machine.Handle(l.around.Now(), in))
+	due := l.machine.Due()
+	switch {
+	case due.Equal(l.due) || l.ended:
+		return
+	case due.IsZero():
+		l.timer.Stop()
+	default:
+		l.timer.Reset(due.Sub(l.around.Now()))
+	}
+	l.due = due
 }
 
 // handle hands an input to the balancer and carries out its actions.
 func (l *lane) handle(in balancer.Input) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.carryOut(l.machine.Handle(l.around.Now(), in))
+	l.step(in)
 }
 
 // arrive hands in a new call.
@@ -127,7 +168,7 @@
 	l.lastCall++
 	c.ID = l.lastCall
 	l.calls[c.ID] = w
-	l.carryOut(l.machine.Handle(l.around.Now(), balancer.Arrived{Call: c}))
+	l.step(balancer.Arrived{Call: c})
 	return c.ID
 }
 
@@ -202,7 +243,7 @@
 	defer t.cancel()
 	answer, ending := l.forwarder.Send(ctx, d, request)
 	if ending != balancer.EndingComplete {
-		l.end(t, ending, reportOf(answer))
+		l.endAttempt(t, ending, reportOf(answer))
 		return
 	}
 	t.answer = answer
@@ -211,7 +252,7 @@
 	}
 	l.handle(balancer.AnswerBegan{Attempt: t.id, Status: answer.Response.StatusCode, Report: answer.Report, Stored: storedOf(answer)})
 	if answer.Whole {
-		l.end(t, balancer.EndingComplete, balancer.NoReport)
+		l.endAttempt(t, balancer.EndingComplete, balancer.NoReport)
 		return
 	}
 	l.awaitBody(ctx, t)
@@ -227,14 +268,14 @@
 	case <-ctx.Done():
 	}
 	l.forwarder.Finish(t.answer, ending == balancer.EndingComplete)
-	l.end(t, ending, balancer.NoReport)
+	l.endAttempt(t, ending, balancer.NoReport)
 }
 
-func (l *lane) end(t *attempt, ending balancer.Ending, report balancer.Report) {
+func (l *lane) endAttempt(t *attempt, ending balancer.Ending, report balancer.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.attempts, t.id)
-	l.carryOut(l.machine.Handle(l.around.Now(), balancer.AttemptEnded{Attempt: t.id, Ending: ending, Report: report}))
+	l.step(balancer.AttemptEnded{Attempt: t.id, Ending: ending, Report: report})
 }
 
 func reportOf(a *forwarder.Answer) balancer.Report {
@@ -271,14 +312,6 @@
 	})
 }
 
-// tick lets time pass, and reports whether anything is in flight.
-func (l *lane) tick() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.carryOut(l.machine.Handle(l.around.Now(), balancer.Tick{}))
-	return l.machine.InFlight() > 0
-}
-
 func (l *lane) leaving() []messenger.Leaving {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -27,6 +27,9 @@
 
 const maxMessageBytes = 16 << 20
 
+// neverDue is how far a timer is set that is not needed yet.
+const neverDue = 24 * time.Hour
+
 // Follower drives the subscriber of an entry.
 type Follower struct {
 	now        func() time.Time
@@ -45,6 +48,10 @@
 	machine *subscriber.Subscriber
 	// stream is the present one; messages of any other are ignored.
 	stream *stream
+	// timer calls the subscriber at due; zero while nothing is due.
+	timer *time.Timer
+	due   time.Time
+	ended bool
 }
 
 // stream is one connection to a replica.
@@ -92,32 +99,27 @@
 		set = append(set, subscriber.WithDiscovery())
 	}
 	f.machine = subscriber.New(hello, replicas, set...)
+	f.timer = time.AfterFunc(neverDue, f.wake)
 	return f
 }
 
-// Run lets time pass in the subscriber until the context ends.
+// Run lets the subscriber begin, and keeps it from being called once the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			f.handle(subscriber.Tick{Leaving: f.dispatcher.Leaving()})
-			timer.Reset(f.interval())
-		}
-	}
+	f.wake()
+	<-ctx.Done()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
+	f.timer.Stop()
 }
 
-// interval returns when to let time pass again.
-func (f *Follower) interval() time.Duration {
+// wake lets time pass in the subscriber.
+func (f *Follower) wake() {
+	leaving := f.dispatcher.Leaving()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.machine.Following() {
-		return subscriber.TickInterval
-	}
-	return subscriber.SearchInterval
+	f.due = time.Time{}
+	f.step(subscriber.Tick{Leaving: leaving})
 }
 
 // Announce takes in what an endpoint said to this entry.
@@ -169,7 +171,22 @@
 func (f *Follower) handle(in subscriber.Input) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.step(in)
+}
+
+// step hands an input to the subscriber, carries out its actions and sets the timer.
+func (f *Follower) step(in subscriber.Input) {
 	f.carryOut(f.machine.Handle(f.now(), in))
+	due := f.machine.Due()
+	switch {
+	case due.Equal(f.due) || f.ended:
+		return
+	case due.IsZero():
+		f.timer.Stop()
+	default:
+		f.timer.Reset(due.Sub(f.now()))
+	}
+	f.due = due
 }
 
 // handleFrom hands in what came on a stream, unless it has been replaced.
@@ -177,7 +194,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.stream == s {
-		f.carryOut(f.machine.Handle(f.now(), in))
+		f.step(in)
 	}
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -71,13 +71,27 @@
 	group sync.WaitGroup
 	mu    sync.Mutex
 	pools map[string]*pool
+	// trimmer closes connections that have been quiet for too long; it is set while there
+	// are idle ones.
+	trimmer *time.Timer
+	trims   bool
+	closed  bool
 }
 
 // New returns a forwarder without connections.
 func New(now func() time.Time, protocol translator.Endpoints, inbound pacer.Pacer) *Forwarder {
-	return &Forwarder{now: now, protocol: protocol, inbound: inbound, pools: make(map[string]*pool)}
+	f := &Forwarder{now: now, protocol: protocol, inbound: inbound, pools: make(map[string]*pool)}
+	f.trimmer = time.AfterFunc(maxIdle, f.trim)
+	return f
 }
 
+// maxIdle is the longest that a quiet connection may stay open, and trimInterval the least
+// time between two looks.
+const (
+	maxIdle      = balancer.AnyQuiet
+	trimInterval = 10 * time.Second
+)
+
 func (f *Forwarder) pool(address string) *pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,19 +114,43 @@
 	}
 }
 
-// Trim closes connections that have been quiet for too long.
-func (f *Forwarder) Trim(quiet time.Duration) {
+// trim closes connections that have been quiet for too long, and comes back as long as there
+// are idle ones.
+func (f *Forwarder) trim() {
 	f.mu.Lock()
 	pools := make([]*pool, 0, len(f.pools))
 	for _, p := range f.pools {
 		pools = append(pools, p)
 	}
+	f.trims = false
 	f.mu.Unlock()
+	left := 0
 	for _, p := range pools {
-		p.trim(quiet)
+		left += p.trim(maxIdle)
+	}
+	if left > 0 {
+		f.trimLater(trimInterval)
+	}
+}
+
+// trimLater sets the trimmer, unless it is set already.
+func (f *Forwarder) trimLater(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.trims && !f.closed {
+		f.trims = true
+		f.trimmer.Reset(wait)
 	}
 }
 
+// Close ends what the forwarder does by itself. Connections stay with their attempts.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	f.trimmer.Stop()
+}
+
 // Send makes one attempt. Either there is an answer, which the caller must Finish,
 // or the ending says how the attempt failed.
 func (f *Forwarder) Send(ctx context.Context, d balancer.Dispatch, r Request) (*Answer, balancer.Ending) {
@@ -210,6 +248,7 @@
 		return
 	}
 	a.pool.put(a.connection)
+	f.trimLater(maxIdle)
 }
 
 // outgoing returns the request as one attempt sends it.
--- a/entry/forwarder/pool.go
+++ b/entry/forwarder/pool.go
@@ -104,14 +104,16 @@
 	p.mu.Unlock()
 }
 
-// trim closes the connections that have been quiet for too long.
-func (p *pool) trim(quiet time.Duration) {
+// trim closes the connections that have been quiet for too long, and returns how many idle
+// ones are left.
+func (p *pool) trim(quiet time.Duration) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	for len(p.idle) > 0 && now.Sub(p.idle[0].lastProof()) > quiet {
 		p.closeIdle(0)
 	}
+	return len(p.idle)
 }
 
 // retire closes idle connections now, and the others when they come back.
--- a/shell/narrator/narrator.go
+++ b/shell/narrator/narrator.go
@@ -63,18 +63,26 @@
 
 // Run writes until the context ends.
 func (n *Narrator) Run(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
 	left := n.rate
 	var told uint64
+	// second ends the time in which at most so many lines are written. It runs only after a
+	// line: a process that decides nothing is not woken.
+	second := time.NewTimer(time.Second)
+	defer second.Stop()
+	running := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-second.C:
 			left = n.rate
 			told = n.tellDropped(told)
+			running = false
 		case l := <-n.lines:
+			if !running {
+				running = true
+				second.Reset(time.Second)
+			}
 			if left == 0 {
 				n.dropped.Add(1)
 				continue
