Call replicas only when something is due

Cause: a replica was called each 50 ms and went over its entries, the waiting claims and the members; the digest of its endpoints was made anew from a sorted list for each presence that came or went, 11 times a second with five replicas. Change: the controller and its two logs say when they are due. While replicas join or leave, or a change is not in force yet, time passes each 50 ms as before; at rest only elections, rounds and presence are due. Waiting claims and lost entries are kept by time. The digest is a sum that changes with its endpoints. Reads that begin within 25 ms are confirmed by one round, the first at once. One package, waker, holds the timer of a machine, for all three shells. Test first: replicas at rest with 20 entries are called for their beats alone; all random histories of the system call machines only when due. Leases and digest against a plain list. Found on the way: the system of the tests gave entries of two digits the same streams, so a test with 20 entries saw a share spent twice; the streams are numbered apart now.

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -19,6 +19,7 @@
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/core/validator"
+	"comfreyplank.org/shell/waker"
 )
 
 // retryInterval is how long a failed write waits before it is tried again.
@@ -45,6 +46,8 @@
 
 	mu      sync.Mutex
 	machine *controller.Controller
+	// waker calls the machine when it is due; nil before Run.
+	waker *waker.Waker
 	// streams of entries, and operators who wait, by their numbers.
 	streams     map[controller.Conn]*Stream
 	lastStream  controller.Conn
@@ -176,15 +179,20 @@
 func (d *Driver) Run(ctx context.Context) error {
 	d.mu.Lock()
 	d.peers = newPeers(ctx, d.group, d.clock)
+	d.waker = waker.New(time.Now, d.wake)
 	d.mu.Unlock()
 	var workers sync.WaitGroup
 	for _, w := range d.journals {
 		workers.Go(func() { d.work(ctx, w) })
 	}
 	workers.Go(func() { d.keep(ctx) })
-	ticker := time.NewTicker(controller.TickInterval)
-	defer ticker.Stop()
-	err := d.tick(ctx, ticker)
+	d.wake()
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-d.failed:
+	}
+	d.rest()
 	workers.Wait()
 	for _, w := range d.journals {
 		if closed := w.journal.Close(); err == nil {
@@ -195,23 +203,33 @@
 	return err
 }
 
-func (d *Driver) tick(ctx context.Context, ticker *time.Ticker) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-d.failed:
-			return err
-		case <-ticker.C:
-			d.handle(controller.Tick{})
-		}
-	}
+// wake lets time pass in the controller.
+func (d *Driver) wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waker.Woken()
+	d.step(controller.Tick{})
+}
+
+// rest keeps the controller from being called by its timer.
+func (d *Driver) rest() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waker.End()
 }
 
 func (d *Driver) handle(in controller.Input) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.step(in)
+}
+
+// step hands an input to the controller, carries out its actions and sets the timer.
+func (d *Driver) step(in controller.Input) {
 	d.carryOut(d.machine.Handle(time.Now(), in))
+	if d.waker != nil {
+		d.waker.Set(d.machine.Due())
+	}
 }
 
 func (d *Driver) carryOut(actions []controller.Action) {
@@ -366,7 +384,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.streams, s.Conn)
-	d.carryOut(d.machine.Handle(time.Now(), controller.EntryLost{Conn: s.Conn}))
+	d.step(controller.EntryLost{Conn: s.Conn})
 }
 
 // EntrySaid hands in a message of an entry.
@@ -380,7 +398,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, m := range messages {
-		d.carryOut(d.machine.Handle(time.Now(), controller.PeerSaid{Message: m}))
+		d.step(controller.PeerSaid{Message: m})
 	}
 }
 
@@ -392,7 +410,7 @@
 	d.mu.Lock()
 	d.lastRequest++
 	waiting[d.lastRequest] = answers
-	d.carryOut(d.machine.Handle(time.Now(), request(d.lastRequest)))
+	d.step(request(d.lastRequest))
 	d.mu.Unlock()
 	select {
 	case a := <-answers:
--- a/core/controller/claims.go
+++ b/core/controller/claims.go
@@ -44,6 +44,7 @@
 		return
 	}
 	c.claimWaiters[id] = claimWaiter{conn: conn, request: v.Request, until: now.Add(claimTimeout)}
+	c.claimsInOrder = append(c.claimsInOrder, id)
 }
 
 func identify(cmd claimer.Command) (claimID, bool) {
@@ -78,11 +79,21 @@
 }
 
 func (c *Controller) expireClaims(now time.Time) {
-	for id, w := range c.claimWaiters {
-		if !now.Before(w.until) {
-			delete(c.claimWaiters, id)
+	for until := c.claimDue(); !until.IsZero() && !now.Before(until); until = c.claimDue() {
+		delete(c.claimWaiters, c.claimsInOrder[0])
+		c.claimsInOrder = c.claimsInOrder[1:]
+	}
+}
+
+// claimDue returns when the wait of the oldest command may end; zero without one.
+func (c *Controller) claimDue() time.Time {
+	for len(c.claimsInOrder) > 0 {
+		if w, ok := c.claimWaiters[c.claimsInOrder[0]]; ok {
+			return w.until
 		}
+		c.claimsInOrder = c.claimsInOrder[1:]
 	}
+	return time.Time{}
 }
 
 // advanceClaims lets the claims' own clock follow the leader's monotonic clock.
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -20,8 +20,6 @@
 
 // Timing of a controller.
 const (
-	// TickInterval is how often the caller should hand in a Tick.
-	TickInterval = 50 * time.Millisecond
 	// QuorumWindow is how old the word of a majority may be for a replica to give
 	// standing or shares.
 	QuorumWindow = time.Second
@@ -263,6 +261,11 @@
 	reads        []pendingRead
 	nextRead     uint64
 	claimWaiters map[claimID]claimWaiter
+	// claimsInOrder are the commands in the order in which their waits end, also some that
+	// have been answered.
+	claimsInOrder []claimID
+	// lostUntil is not later than when the first lost entry is forgotten; zero without one.
+	lostUntil time.Time
 
 	// inForce is a revision that every entry in standing has; it never falls.
 	inForce uint64
@@ -282,8 +285,10 @@
 	nextShare   time.Time
 	nextBeat    time.Time
 	nextAdvance time.Time
+	// tickedAt is when time last passed here.
+	tickedAt time.Time
 	// nextStore is when the endpoints may be stored again, and storedDigest tells
-	// whether they have changed since.
+	// whether they have changed since they were.
 	nextStore    time.Time
 	storedDigest uint64
 	// storedIndex is the index of the last StoreCommitted.
@@ -357,6 +362,10 @@
 		shares:       make(map[string]heldShare),
 		subShares:    make(map[string]*allotter.Allotter),
 		lastAdvance:  now,
+		nextBeat:     now,
+		nextShare:    now,
+		nextStore:    now,
+		nextAdvance:  now,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -448,6 +457,7 @@
 }
 
 func (c *Controller) tick(now time.Time) {
+	c.tickedAt = now
 	c.config.replica.Tick(now)
 	c.claims.replica.Tick(now)
 	c.found(now)
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -555,3 +555,24 @@
 	}
 	s.backends[0].state = registrar.StateServing
 }
+
+// TestReplicasAtRestAreCalledForTheirBeats counts how often replicas are called while nothing
+// but time passes: for elections, heartbeats, presence and shares, and not for their entries.
+func TestReplicasAtRestAreCalledForTheirBeats(t *testing.T) {
+	s := ready(t, 3, 20)
+	s.run(3 * time.Second)
+	before := make([]int, len(s.controls))
+	for i, c := range s.controls {
+		before[i] = c.ticks
+	}
+	const rest = 10 * time.Second
+	s.run(rest)
+	for i, c := range s.controls {
+		most := 5 * rest / time.Second // presence, shares, what is stored, and the rounds of two logs
+		if c == s.leader() {
+			most += 2 * rest / replicator.DefaultHeartbeat
+		}
+		got := c.ticks - before[i]
+		assert.Assert(t, got <= int(most), "%s was called %d times, %d expected", c.name, got, most)
+	}
+}
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
@@ -22,6 +21,11 @@
 	differs int
 }
 
+// isSilent reports whether the replica may not be there any more.
+func (p *peer) isSilent(now time.Time) bool {
+	return now.Sub(p.heard) > replicator.DefaultElectionMax+presenceInterval
+}
+
 func describe(members replicator.Membership) string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
@@ -77,7 +81,7 @@
 	}
 	c.nextBeat = now.Add(presenceInterval)
 	c.expireEndpoints(now)
-	message := messenger.Presence{Member: c.self, Run: c.run, Founded: c.founded(), Registry: c.registryDigest()}
+	message := messenger.Presence{Member: c.self, Run: c.run, Founded: c.founded(), Registry: c.registry.Digest()}
 	if c.leads() {
 		message.InForce = c.inForce
 	}
@@ -167,7 +171,7 @@
 func (c *Controller) admitPeers(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(c.presence)) {
 		p := c.presence[name]
-		if now.Sub(p.heard) > replicator.DefaultElectionMax+presenceInterval {
+		if p.isSilent(now) {
 			continue
 		}
 		for _, id := range messenger.Groups {
@@ -239,12 +243,3 @@
 		c.record(recorder.Event{Kind: recorder.KindMembership, Detail: g.id.String() + " to " + describe(next)})
 	}
 }
-
-// registryDigest tells whether two replicas know the same endpoints.
-func (c *Controller) registryDigest() uint64 {
-	h := fnv.New64a()
-	for _, a := range c.registry.List("") {
-		_, _ = h.Write([]byte(a.Service + "/" + a.Endpoint + "/" + string(a.State) + "/" + a.Address))
-	}
-	return h.Sum64()
-}
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -106,7 +106,7 @@
 }
 
 func (c *Controller) storeEndpoints() {
-	digest := c.registryDigest()
+	digest := c.registry.Digest()
 	if digest == c.storedDigest {
 		return
 	}
@@ -129,7 +129,7 @@
 // compareRegistry sends all endpoints to a replica that has started anew or
 // stays different.
 func (c *Controller) compareRegistry(p *peer, digest uint64, fresh bool) {
-	if digest == c.registryDigest() {
+	if digest == c.registry.Digest() {
 		p.differs = 0
 		return
 	}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -187,13 +187,22 @@
 		return
 	}
 	e.lost = true
+	c.lostUntil = earliest(c.lostUntil, e.standingUntil)
 	c.record(recorder.Event{Kind: recorder.KindEntryLeft, Detail: e.hello.Entry})
 }
 
 // expireEntries forgets lost entries once their standing has ended.
 func (c *Controller) expireEntries(now time.Time) {
+	if c.lostUntil.IsZero() || now.Before(c.lostUntil) {
+		return
+	}
+	c.lostUntil = time.Time{}
 	for conn, e := range c.entries {
-		if e.lost && !now.Before(e.standingUntil) {
+		switch {
+		case !e.lost:
+		case now.Before(e.standingUntil):
+			c.lostUntil = earliest(c.lostUntil, e.standingUntil)
+		default:
 			delete(c.entries, conn)
 		}
 	}
@@ -238,7 +247,7 @@
 	}
 	if everywhere > c.inForce {
 		c.inForce = everywhere
-		c.nextBeat = time.Time{} // tell the other replicas with the next tick
+		c.nextBeat = now // tell the other replicas with the next tick
 	}
 }
 
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"comfreyplank.org/core/allotter"
@@ -84,6 +85,8 @@
 	endpoints []registrar.Announcement
 	up        bool
 	run       int
+	// ticks counts how often it was called for the time alone.
+	ticks int
 }
 
 // entry is an entry with the balancer of the one service.
@@ -244,7 +247,7 @@
 	}
 	for _, c := range s.controls {
 		if c.up {
-			s.handle(c, controller.Tick{})
+			s.wakeControl(c)
 		}
 	}
 	for _, e := range s.entries {
@@ -258,6 +261,14 @@
 	s.check()
 }
 
+// wakeControl calls a replica that is due.
+func (s *system) wakeControl(c *control) {
+	if isDue(s.now, c.machine.Due()) {
+		c.ticks++
+		s.handle(c, controller.Tick{})
+	}
+}
+
 // wakeEntry calls the machines of an entry that are due.
 func (s *system) wakeEntry(e *entry) {
 	if isDue(s.now, e.machine.Due()) {
@@ -360,7 +371,13 @@
 }
 
 // conn numbers the streams of entries so that each is known once.
-func conn(e *entry) controller.Conn { return controller.Conn(int(e.name[1]-'0')*1_000_000 + e.stream) }
+func conn(e *entry) controller.Conn {
+	number, err := strconv.Atoi(e.name[1:])
+	if err != nil {
+		panic(err) // entries are named by their numbers
+	}
+	return controller.Conn(number*1_000_000 + e.stream)
+}
 
 func (s *system) sendEntry(c *control, v controller.SendEntry) {
 	for _, e := range s.entries {
--- a/core/registrar/expiry_test.go
+++ b/core/registrar/expiry_test.go
@@ -9,6 +9,15 @@
 	"pgregory.net/rapid"
 )
 
+// digestOf sums up what is held now.
+func digestOf(r *Registry) uint64 {
+	var sum uint64
+	for _, a := range r.All("") {
+		sum += a.hash()
+	}
+	return sum
+}
+
 // TestRandomExpiries compares the registry with a plain list of times: leases end exactly
 // when they do there, and the next expiry is told exactly.
 func TestRandomExpiries(t *testing.T) {
@@ -23,7 +32,11 @@
 			switch rapid.IntRange(0, 3).Draw(rt, "event") {
 			case 0, 1:
 				sequence++
-				r.Announce(now, Announcement{Name: Name{Service: "s", Endpoint: name}, State: StateServing, Incarnation: 1, Sequence: sequence})
+				r.Announce(now, Announcement{
+					Name: Name{Service: "s", Endpoint: name}, Incarnation: 1, Sequence: sequence,
+					State: rapid.SampledFrom([]State{StateServing, StateDraining}).Draw(rt, "state"),
+					Gone:  rapid.Bool().Draw(rt, "gone"),
+				})
 				ends[name] = now.Add(lease)
 			case 2:
 				r.Remove(Name{Service: "s", Endpoint: name})
@@ -45,6 +58,7 @@
 			}
 			assert.Equal(rt, len(r.Expire(now)), due)
 			assert.Equal(rt, r.Len(), len(ends))
+			assert.Equal(rt, r.Digest(), digestOf(r))
 			if next := r.NextExpiry(); !first.IsZero() && (next.After(first) || !next.After(now)) {
 				rt.Fatalf("next expiry %s, and the first lease ends at %s", next, first)
 			}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -123,6 +123,8 @@
 	expired map[Name]*record
 	// deadlines say when records end, none of them later than that.
 	deadlines deadlines
+	// digest is the sum of the hashes of all records.
+	digest uint64
 	// owners is set where an address belongs to the latest incarnation that
 	// announces it; incarnations are then comparable between endpoints.
 	owners map[string]Name
@@ -167,12 +169,17 @@
 	}
 	if !known {
 		rec := &record{a, now.Add(r.lease)}
+		r.replace(nil, rec)
 		r.records[a.Name] = rec
 		r.watch(rec)
 		return OutcomeChanged
 	}
 	renewed := a.same(old.announcement)
-	*old = record{a, now.Add(r.lease)}
+	next := record{a, now.Add(r.lease)}
+	if !renewed {
+		r.replace(old, &next)
+	}
+	*old = next
 	if renewed {
 		return OutcomeRenewed
 	}
@@ -198,6 +205,7 @@
 		if owner.announcement.Incarnation > a.Incarnation {
 			return false
 		}
+		r.replace(owner, nil)
 		owner.announcement.Gone = true
 	}
 	r.owners[a.Address] = a.Name
@@ -205,7 +213,10 @@
 }
 
 // Remove forgets an endpoint.
-func (r *Registry) Remove(name Name) { delete(r.records, name) }
+func (r *Registry) Remove(name Name) {
+	r.replace(r.records[name], nil)
+	delete(r.records, name)
+}
 
 // Named returns what is known of the endpoints of a name, whatever their service.
 func (r *Registry) Named(endpoint string) []Announcement {
@@ -229,6 +240,7 @@
 			delete(r.expired, name)
 			continue
 		}
+		r.replace(rec, nil)
 		delete(r.records, name)
 		if r.owners != nil && r.owners[rec.announcement.Address] == name {
 			delete(r.owners, rec.announcement.Address)
--- a/core/replicator/read.go
+++ b/core/replicator/read.go
@@ -35,7 +35,7 @@
 func (r *Replica) addRead(p pendingRead) {
 	if len(r.reads) < maxPendingReads {
 		r.reads = append(r.reads, p)
-		r.beatAt = p.since // confirm soon
+		r.confirmSoon()
 		r.finishReads(p.since)
 	}
 }
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -141,7 +141,9 @@
 	// quorumAt is a time at or before which a majority surely followed the leader
 	// of this term; zero when unknown.
 	quorumAt time.Time
-	beatAt   time.Time
+	// beatAt is when the leader's next round is due, and broadcastAt when the last one was.
+	beatAt      time.Time
+	broadcastAt time.Time
 	// report is the word for the leader that goes with each reply.
 	report uint64
 
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -61,6 +61,7 @@
 // broadcast sends heartbeats, with entries where some are missing.
 func (r *Replica) broadcast(now time.Time) {
 	r.beatAt = now.Add(r.heartbeat)
+	r.broadcastAt = now
 	r.noteQuorum(now)
 	for _, m := range r.members {
 		if p := r.progress[m.ID]; p != nil {
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -13,6 +13,7 @@
 	"comfreyplank.org/entry/forwarder"
 	"comfreyplank.org/entry/pacer"
 	"comfreyplank.org/entry/translator"
+	"comfreyplank.org/shell/waker"
 )
 
 // Surroundings are what a lane needs of the rest of the entry.
@@ -99,10 +100,8 @@
 	attempts map[balancer.AttemptID]*attempt
 	// addresses tells where endpoints are, for closing their connections.
 	addresses map[string]string
-	// timer calls the balancer at due; zero while nothing is due.
-	timer *time.Timer
-	due   time.Time
-	ended bool
+	// waker calls the balancer when it is due.
+	waker *waker.Waker
 }
 
 func newLane(instance string, service validator.Service, around Surroundings) *lane {
@@ -115,18 +114,15 @@
 		attempts:  make(map[balancer.AttemptID]*attempt),
 		addresses: make(map[string]string),
 	}
-	l.timer = time.AfterFunc(neverDue, l.wake)
+	l.waker = waker.New(around.Now, l.wake)
 	return l
 }
 
-// neverDue is how far a timer is set that is not needed yet.
-const neverDue = 24 * time.Hour
-
 // wake lets time pass in the balancer.
 func (l *lane) wake() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.due = time.Time{}
+	l.waker.Woken()
 	l.step(balancer.Tick{})
 }
 
@@ -134,24 +130,14 @@
 func (l *lane) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended = true
-	l.timer.Stop()
+	l.waker.End()
 	l.forwarder.Close()
 }
 
 // step hands an input to the balancer, carries out its actions and sets the timer.
 func (l *lane) step(in balancer.Input) {
 	l.carryOut(l.machine.Handle(l.around.Now(), in))
-	due := l.machine.Due()
-	switch {
-	case due.Equal(l.due) || l.ended:
-		return
-	case due.IsZero():
-		l.timer.Stop()
-	default:
-		l.timer.Reset(due.Sub(l.around.Now()))
-	}
-	l.due = due
+	l.waker.Set(l.machine.Due())
 }
 
 // handle hands an input to the balancer and carries out its actions.
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -20,6 +20,7 @@
 	"comfreyplank.org/shell/connector"
 	"comfreyplank.org/shell/encoder"
 	"comfreyplank.org/shell/encoder/wire"
+	"comfreyplank.org/shell/waker"
 )
 
 // outgoing is how many messages may wait to be sent on a stream.
@@ -27,9 +28,6 @@
 
 const maxMessageBytes = 16 << 20
 
-// neverDue is how far a timer is set that is not needed yet.
-const neverDue = 24 * time.Hour
-
 // Follower drives the subscriber of an entry.
 type Follower struct {
 	now        func() time.Time
@@ -48,10 +46,8 @@
 	machine *subscriber.Subscriber
 	// stream is the present one; messages of any other are ignored.
 	stream *stream
-	// timer calls the subscriber at due; zero while nothing is due.
-	timer *time.Timer
-	due   time.Time
-	ended bool
+	// waker calls the subscriber when it is due.
+	waker *waker.Waker
 }
 
 // stream is one connection to a replica.
@@ -99,7 +95,7 @@
 		set = append(set, subscriber.WithDiscovery())
 	}
 	f.machine = subscriber.New(hello, replicas, set...)
-	f.timer = time.AfterFunc(neverDue, f.wake)
+	f.waker = waker.New(f.now, f.wake)
 	return f
 }
 
@@ -109,8 +105,7 @@
 	<-ctx.Done()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ended = true
-	f.timer.Stop()
+	f.waker.End()
 }
 
 // wake lets time pass in the subscriber.
@@ -118,7 +113,7 @@
 	leaving := f.dispatcher.Leaving()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.due = time.Time{}
+	f.waker.Woken()
 	f.step(subscriber.Tick{Leaving: leaving})
 }
 
@@ -177,16 +172,7 @@
 // step hands an input to the subscriber, carries out its actions and sets the timer.
 func (f *Follower) step(in subscriber.Input) {
 	f.carryOut(f.machine.Handle(f.now(), in))
-	due := f.machine.Due()
-	switch {
-	case due.Equal(f.due) || f.ended:
-		return
-	case due.IsZero():
-		f.timer.Stop()
-	default:
-		f.timer.Reset(due.Sub(f.now()))
-	}
-	f.due = due
+	f.waker.Set(f.machine.Due())
 }
 
 // handleFrom hands in what came on a stream, unless it has been replaced.
