Close callers' connections at the times that the document states

Cause: the document's timeouts for headers and for idle connections were read and not enforced; the server's own (10 s, 2 min) held. Change: the keeper sets the deadline that is in force where the server waits for a request or for its header; a change of the document holds from the next wait on. Test first: entry/keeper, headers and idle connections, first and later ones, both orders of length; with the server's own bounds all four fail.

--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"comfreyplank.org/core/router"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
+	"comfreyplank.org/entry/keeper"
 	"comfreyplank.org/entry/translator"
 )
 
@@ -110,6 +111,18 @@
 	return d.active.Load()
 }
 
+// Timeouts returns how long callers may take, as the document in force says.
+func (d *Dispatcher) Timeouts() keeper.Timeouts {
+	now := d.active.Load()
+	if now == nil {
+		return keeper.Timeouts{}
+	}
+	return keeper.Timeouts{
+		Header: time.Duration(now.limits.HeaderTimeoutMs) * time.Millisecond,
+		Idle:   time.Duration(now.limits.IdleTimeoutMs) * time.Millisecond,
+	}
+}
+
 // Handle hands an input to the balancer of a service.
 func (d *Dispatcher) Handle(service string, in balancer.Input) {
 	if l := d.lane(service); l != nil {
--- a/entry/keeper/keeper.go
+++ b/entry/keeper/keeper.go
@@ -1,6 +1,10 @@
-// Package keeper keeps callers' connections open for requests that have begun while a
-// server shuts down. The standard server closes connections that it takes to be idle; a
-// request that it reads at that moment would be passed on and its answer cut off.
+// Package keeper decides how long callers' connections stay open: as long as a request is
+// served, also while the server shuts down, and otherwise for the times that are in force
+// then.
+//
+// The standard server closes connections that it takes to be idle; a request that it reads
+// at that moment would be passed on and its answer cut off. Its own timeouts can't change
+// while it runs.
 package keeper
 
 import (
@@ -9,23 +13,40 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// Bounds of the timeouts; what is in force is shorter, or not set.
+const (
+	maxHeaderTimeout = 10 * time.Second
+	maxIdleTimeout   = 2 * time.Minute
+)
+
+// Timeouts are how long a request's header may take, and how long a connection may be
+// without a request. Zero stands for the keeper's own bound.
+type Timeouts struct {
+	Header, Idle time.Duration
+}
+
 // Keeper watches the connections of one server.
 type Keeper struct {
+	timeouts func() Timeouts
 	// serving counts the requests that handlers serve, none of them on a closed connection.
 	serving atomic.Int64
 }
 
-// New returns a keeper of no connections.
-func New() *Keeper { return &Keeper{} }
+// New returns a keeper of no connections. Timeouts returns those that are in force.
+func New(timeouts func() Timeouts) *Keeper { return &Keeper{timeouts: timeouts} }
 
 // Serving returns how many requests are being served. The server itself may not know of all
 // of them once it shuts down.
 func (k *Keeper) Serving() int { return int(k.serving.Load()) }
 
-// Watch makes the server tell the keeper's handler which connection a request came on.
+// Watch sets the server's timeouts, and makes it tell the keeper's handler which connection a
+// request came on.
 func (k *Keeper) Watch(s *http.Server) {
+	s.ReadHeaderTimeout = maxHeaderTimeout
+	s.IdleTimeout = maxIdleTimeout
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, c)
 	}
@@ -111,6 +132,34 @@
 	return c.Conn.Close()
 }
 
+// SetReadDeadline is part of net.Conn. Where the server waits for a request, or for its
+// header, the deadline is the one in force.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	if wait := time.Until(t); wait > 0 && !c.isServing() {
+		t = t.Add(c.keeper.inForce(wait) - wait)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// inForce returns how long to wait where the server would wait for so long.
+func (k *Keeper) inForce(wait time.Duration) time.Duration {
+	limit := k.timeouts()
+	most := limit.Idle
+	if wait <= maxHeaderTimeout {
+		most = limit.Header
+	}
+	if most <= 0 {
+		return wait
+	}
+	return min(wait, most)
+}
+
+func (c *connection) isServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving
+}
+
 // CloseWrite ends what is sent, so that the last answer on the connection is not lost to
 // unread bytes of a request.
 func (c *connection) CloseWrite() error {
--- a/entry/keeper/keeper_test.go
+++ b/entry/keeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -52,6 +53,9 @@
 	return &crossing{Conn: c, hold: l.hold, read: l.read, free: l.free}, nil
 }
 
+// none leaves the keeper's own bounds in force.
+func none() keeper.Timeouts { return keeper.Timeouts{} }
+
 func request(t *testing.T, c net.Conn) {
 	t.Helper()
 	_, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
@@ -64,7 +68,7 @@
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := &crossed{Listener: raw, hold: make(chan struct{}), read: make(chan struct{}, 1), free: make(chan struct{})}
-	k := keeper.New()
+	k := keeper.New(none)
 	var served atomic.Int64
 	server := &http.Server{Handler: k.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))}
 	k.Watch(server)
@@ -98,7 +102,7 @@
 func TestConnectionStaysOpenForWhatIsServed(t *testing.T) {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	k := keeper.New()
+	k := keeper.New(none)
 	accepted := make(chan net.Conn, 1)
 	serving, answer := make(chan struct{}), make(chan struct{})
 	server := &http.Server{
@@ -131,3 +135,56 @@
 	assert.NilError(t, server.Shutdown(t.Context()))
 	assert.Equal(t, k.Serving(), 0)
 }
+
+// TestTimeoutsAreThoseInForce: a header that does not come to its end, and a connection without
+// a request, last as long as is in force then, also where that changes while the server runs.
+func TestTimeoutsAreThoseInForce(t *testing.T) {
+	const short, long = 150 * time.Millisecond, 450 * time.Millisecond
+	tests := []struct {
+		name string
+		// before is sent and answered first, and begun is sent after that.
+		before bool
+		begun  string
+		limits keeper.Timeouts
+		want   time.Duration
+	}{
+		{"the first header", false, "GET / HT", keeper.Timeouts{Header: short, Idle: long}, short},
+		{"a later header", true, "GET / HT", keeper.Timeouts{Header: short, Idle: long}, short},
+		{"a connection without a request", true, "", keeper.Timeouts{Header: short, Idle: long}, long},
+		{"a longer header than idle time", true, "GET / HT", keeper.Timeouts{Header: long, Idle: short}, long},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			var inForce atomic.Pointer[keeper.Timeouts]
+			inForce.Store(&keeper.Timeouts{})
+			k := keeper.New(func() keeper.Timeouts { return *inForce.Load() })
+			server := &http.Server{Handler: k.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}
+			k.Watch(server)
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(raw)), http.ErrServerClosed)) })
+			defer func() { assert.Check(t, server.Close()) }()
+			inForce.Store(&tt.limits)
+			c, err := net.Dial("tcp", raw.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }() // it may be closed already
+			answers := bufio.NewReader(c)
+			if tt.before {
+				request(t, c)
+				_, err = http.ReadResponse(answers, nil)
+				assert.NilError(t, err)
+			}
+			start := time.Now()
+			_, err = c.Write([]byte(tt.begun))
+			assert.NilError(t, err)
+			assert.NilError(t, c.SetReadDeadline(start.Add(10*time.Second)))
+			_, err = io.Copy(io.Discard, answers) // a refusal may come before the end
+			took := time.Since(start)
+			assert.Check(t, err)
+			assert.Check(t, took > tt.want-short/3 && took < tt.want+2*short, "closed after %s", took)
+		})
+	}
+}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -30,6 +30,8 @@
 
 // Limits of the servers.
 const (
+	// headerTimeout and idleTimeout are those of the servers for administration; the
+	// keeper has those for callers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes is far above what the handler accepts.
@@ -117,7 +119,6 @@
 		change:   func(*dispatcher.Surroundings) {},
 		public:   func(s *server.Server, calls http.Handler) http.Handler { return s.Public(calls) },
 		events:   publisher.DefaultCapacity,
-		keeper:   keeper.New(),
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -133,6 +134,7 @@
 	}
 	i.change(&around)
 	i.dispatcher = dispatcher.New(s.Name+"/"+uuid.NewString(), around)
+	i.keeper = keeper.New(i.dispatcher.Timeouts)
 	hello := messenger.Hello{Entry: s.Name, DataCentre: s.DataCentre, Admin: s.Admin}
 	follow := append([]follower.Option{follower.WithPublish(i.publish)}, i.follow...)
 	i.follower = follower.New(i.ctx, &i.group, hello, s.Control, i.dispatcher, i.publisher, follow...)
