--- a/bench/load.go
+++ b/bench/load.go
@@ -91,7 +91,9 @@
 			return nil, errors.Wrap(err, "read runs")
 		}
 		for _, key := range strings.Fields(string(data)) {
-			runs[key]++
+			if !loader.IsMark(key) {
+				runs[key]++
+			}
 		}
 	}
 	var problems []string
--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -133,7 +133,7 @@
 func (l *Loader) call(ctx context.Context, n int, due time.Time, counts bool) {
 	late := time.Since(due) > lateBound
 	once := n%100 < l.plan.OncePercent
-	mark := "m" + strconv.Itoa(n)
+	mark := markPrefix + strconv.Itoa(n)
 	key := ""
 	method, path, body := http.MethodGet, l.plan.Path, ""
 	if once {
@@ -145,6 +145,13 @@
 	l.note(outcome, time.Since(due), late, counts, key)
 }
 
+// markPrefix begins the marks of calls; no key of a once-only call begins so.
+const markPrefix = "m"
+
+// IsMark reports whether an endpoint has recorded a run by the mark of a call that may be
+// repeated, and not by the key of a once-only one.
+func IsMark(run string) bool { return strings.HasPrefix(run, markPrefix) }
+
 func (l *Loader) send(ctx context.Context, method, url, body, mark, key string) Outcome {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
 	if err != nil {
