--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -36,6 +36,8 @@
 	controls []*control
 	// seeds is how many replicas each one is told of at its start; zero tells of all.
 	seeds int
+	// seats is how many voters there are; zero keeps all that ever joined.
+	seats int
 	// cold lets replicas that start give entries what they knew.
 	cold     bool
 	entries  []*entry
@@ -87,6 +89,11 @@
 	run       int
 	// ticks counts how often it was called for the time alone.
 	ticks int
+	// lost is set once it has ended for good.
+	lost bool
+	// joins is set for a replica that comes later; peers are those that it is told of.
+	joins bool
+	peers []replicator.Member
 }
 
 // entry is an entry with the balancer of the one service.
@@ -176,10 +183,20 @@
 	disk.Config.Entries = slices.Clone(disk.Config.Entries)
 	disk.Claims.Entries = slices.Clone(disk.Claims.Entries)
 	var err error
-	opts := []controller.Option{controller.WithPeers(s.peers()), controller.WithRand(s.source())}
+	peers := s.peers()
+	if c.joins {
+		peers = c.peers
+	}
+	opts := []controller.Option{controller.WithPeers(peers), controller.WithRand(s.source())}
 	if s.cold {
 		opts = append(opts, controller.WithColdStart())
 	}
+	if s.seats > 0 {
+		opts = append(opts, controller.WithSize(s.seats))
+	}
+	if c.joins {
+		opts = append(opts, controller.WithoutFounding())
+	}
 	disk.Endpoints = c.endpoints
 	c.machine, err = controller.New(s.now, self, disk, opts...)
 	if err != nil {
@@ -209,7 +226,11 @@
 		replicas = append(replicas, c.name)
 	}
 	hello := messenger.Hello{Entry: fmt.Sprintf("%s/%d", e.name, e.run), DataCentre: "dc"}
-	e.machine = subscriber.New(hello, replicas, subscriber.WithRand(s.source()))
+	set := []subscriber.Option{subscriber.WithRand(s.source())}
+	if s.seats > 0 {
+		set = append(set, subscriber.WithDiscovery())
+	}
+	e.machine = subscriber.New(hello, replicas, set...)
 	e.balancer = balancer.New(hello.Entry, validator.Service{Name: serviceName, QueueLimit: 10, RetryPercent: 20}, balancer.WithRand(s.source()))
 }
 
@@ -641,7 +662,7 @@
 	clear(s.cut)
 	s.loss = 0
 	for _, c := range s.controls {
-		if !c.up {
+		if !c.up && !c.lost {
 			s.start(c)
 		}
 	}
