Bound the retries of a whole fleet in any ten seconds

Cause: a token of the reserve came back each 10 s from the first call on, beside the one that was saved up: an entry could spend two in ten seconds besides its share. Ruled out: the share alone, which keeps below its bound. Change: a token comes back once nothing was spent for ten seconds. Test first: budgets of up to 40 entries at random times; the sum over any ten seconds was above the share and what is saved up (6 of 5 with two entries), and holds now.

--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -56,7 +56,7 @@
 	if c.gone || len(c.live) > 1 || !mayRepeat(c, retrier.ProofNone) {
 		return false
 	}
-	if !b.hasTarget(now, c) || !b.budget.Spend() {
+	if !b.hasTarget(now, c) || !b.budget.Spend(now) {
 		return false
 	}
 	b.failed(now, a.endpoint)
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -101,7 +101,7 @@
 	if c.gone || !now.Before(c.Deadline) || !mayRepeat(c, proof) {
 		return false
 	}
-	if !b.anyUntried(now, c) || !b.budget.Spend() {
+	if !b.anyUntried(now, c) || !b.budget.Spend(now) {
 		return false
 	}
 	return b.attempt(now, c) || b.enqueue(now, c)
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -129,10 +129,10 @@
 // free slot and is not slow.
 func (b *Balancer) hedge(now time.Time, c *call) bool {
 	if b.sampling.Endpoints == 0 {
-		return b.hasTarget(now, c) && b.budget.Spend() && b.attempt(now, c)
+		return b.hasTarget(now, c) && b.budget.Spend(now) && b.attempt(now, c)
 	}
 	e := b.roomiest(now, c, hedgeEstimate)
-	if e == nil || !b.budget.Spend() {
+	if e == nil || !b.budget.Spend(now) {
 		return false
 	}
 	b.dispatch(now, c, e)
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -18,7 +18,8 @@
 // DefaultBurst is how many retries may be saved up.
 const DefaultBurst = 50
 
-// refillEvery gives back one token of the reserve.
+// refillEvery is how long nothing must have been spent for one token of the reserve to come
+// back: in any such time, at most what may be saved up is spent beside the share.
 const refillEvery = 10 * time.Second
 
 // Budget bounds retries and hedges to a share of first attempts.
@@ -28,7 +29,8 @@
 	tokens int
 	// capacity is the most that may be saved up, in hundredths of an attempt.
 	capacity int
-	refillAt time.Time
+	// spentAt is when a retry was last spent, or the last token came back.
+	spentAt time.Time
 }
 
 const tokenUnit = 100
@@ -57,18 +59,19 @@
 // First takes note of a first attempt.
 func (b *Budget) First(now time.Time) {
 	b.tokens = min(b.capacity, b.tokens+b.percent)
-	if b.percent > 0 && b.tokens < tokenUnit && !now.Before(b.refillAt) {
-		b.tokens += tokenUnit
-		b.refillAt = now.Add(refillEvery)
+	if b.percent > 0 && b.tokens < tokenUnit && now.Sub(b.spentAt) >= refillEvery {
+		b.tokens = min(b.capacity, b.tokens+tokenUnit)
+		b.spentAt = now
 	}
 }
 
 // Spend takes one retry from the budget, if there is one.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend(now time.Time) bool {
 	if b.percent == 0 || b.tokens < tokenUnit {
 		return false
 	}
 	b.tokens -= tokenUnit
+	b.spentAt = now
 	return true
 }
 
--- a/core/retrier/retrier_test.go
+++ b/core/retrier/retrier_test.go
@@ -1,6 +1,8 @@
 package retrier
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +45,7 @@
 		levels[0].First(time.Unix(1000, 0))
 	}
 	runs := descend(levels[1:], chained)
-	for made := 1; !chained && made < MaxAttempts && levels[0].Spend(); made++ {
+	for made := 1; !chained && made < MaxAttempts && levels[0].Spend(time.Unix(1000, 0)); made++ {
 		runs += descend(levels[1:], true)
 	}
 	return runs
@@ -53,32 +55,78 @@
 	now := time.Unix(1000, 0)
 	b := NewBudget(1)
 	for range reserveTokens {
-		assert.Assert(t, b.Spend())
+		assert.Assert(t, b.Spend(now))
 	}
-	assert.Assert(t, !b.Spend())
+	assert.Assert(t, !b.Spend(now))
 	b.First(now)
-	assert.Assert(t, b.Spend())
-	b.First(now.Add(refillEvery / 2))
-	assert.Assert(t, !b.Spend())
+	assert.Assert(t, !b.Spend(now))
+	b.First(now.Add(refillEvery - 1))
+	assert.Assert(t, !b.Spend(now))
 	b.First(now.Add(refillEvery))
-	assert.Assert(t, b.Spend())
+	assert.Assert(t, b.Spend(now.Add(refillEvery)))
+}
+
+// TestRandomBudgetsAddUp lets all entries of a fleet press at random times: over any time as
+// long as the reserve takes to come back, they spend together no more than the share of
+// their first attempts, and what each of them may save up.
+func TestRandomBudgetsAddUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		entries := rapid.IntRange(1, 40).Draw(rt, "entries")
+		percent := rapid.IntRange(1, 20).Draw(rt, "percent")
+		burst := rapid.IntRange(1, 3).Draw(rt, "burst")
+		budgets := make([]*Budget, entries)
+		for i := range budgets {
+			budgets[i] = NewBudget(percent, WithBurst(burst))
+		}
+		source := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		now := time.Unix(1000, 0)
+		var firsts, spent []time.Time
+		for range 3000 {
+			now = now.Add(time.Duration(source.ExpFloat64() * float64(20*time.Millisecond)))
+			b := budgets[source.IntN(entries)]
+			if source.IntN(2) == 0 {
+				b.First(now)
+				firsts = append(firsts, now)
+			}
+			for b.Spend(now) {
+				spent = append(spent, now)
+			}
+		}
+		for i, from := range spent {
+			end := from.Add(refillEvery)
+			used := count(spent[i:], end)
+			begun, _ := slices.BinarySearchFunc(firsts, from, time.Time.Compare)
+			most := entries*burst + percent*count(firsts[begun:], end)/100 + 1
+			if used > most {
+				rt.Fatalf("%d entries spent %d from %s on, at most %d are allowed", entries, used, from, most)
+			}
+		}
+	})
+}
+
+// count returns how many of the times, which are in order, come before the end.
+func count(times []time.Time, end time.Time) int {
+	n, _ := slices.BinarySearchFunc(times, end, time.Time.Compare)
+	return n
 }
 
 func TestWithoutABudgetNothingIsRepeated(t *testing.T) {
 	b := NewBudget(0)
-	b.First(time.Unix(1000, 0))
-	assert.Assert(t, !b.Spend())
+	now := time.Unix(1000, 0)
+	b.First(now)
+	assert.Assert(t, !b.Spend(now))
 }
 
 func TestBurstBoundsWhatIsSavedUp(t *testing.T) {
 	b := NewBudget(20, WithBurst(2))
+	now := time.Unix(1000, 0)
 	for range 1000 {
-		b.First(time.Unix(1000, 0))
+		b.First(now)
 	}
 	for range 2 {
-		assert.Assert(t, b.Spend())
+		assert.Assert(t, b.Spend(now))
 	}
-	assert.Assert(t, !b.Spend())
+	assert.Assert(t, !b.Spend(now))
 }
 
 func TestRoutesBoundTheAttempts(t *testing.T) {
