Tell entries of endpoints that come together as one

Cause: a replica told each of its entries of each endpoint that came, one message each: 480 messages to an entry when all start, each of which rebuilds the list of a service there. Change: news of endpoints that come wait up to 100 ms for others. One that leaves, or is gone, is told at once, with what waits. Tests first: a hundred endpoints in a second are told in a dozen messages (a hundred before), and a departure at once.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint unit demo long soak clean
+.PHONY: build test lint unit demo long soak regress clean
 
 # build makes every program in bin/.
 build:
@@ -43,5 +43,16 @@
 	go build -race -o bin/soak/ ./entry ./control ./soaker
 	bin/soak/soaker --bin bin/soak $(SOAK)
 
+# regress plays the regression runs with the users' bench, one site after the other: the
+# standard days of each and one drawn just now. BENCH is the bench, SITES the folder of the
+# users' sites. It takes about 40 minutes on six cores; the large site takes half of them.
+REGRESSION_SITES := further/kozar-gate further-grown/kozar-gate-grown grown/dasarang-gw-grown grown/onagbm-gw-grown
+LARGE_SITE := large/dasarang-gw-large
+
+regress:
+	@test -n "$(BENCH)" && test -n "$(SITES)" || { echo "usage: make regress BENCH=program SITES=folder"; exit 2; }
+	@for s in $(REGRESSION_SITES); do $(BENCH) score $(SITES)/$$s.toml --jobs 3 --why "regression run" || exit 1; done
+	$(BENCH) score $(SITES)/$(LARGE_SITE).toml --jobs 1 --why "regression run"
+
 clean:
 	rm -rf bin data
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -254,6 +254,9 @@
 	entries  map[Conn]*entry
 	registry *registrar.Registry
 	news     messenger.EndpointNews
+	// untold are the changes that entries are told at tellAt; zero while there are none.
+	untold   messenger.Endpoints
+	tellAt   time.Time
 	presence map[string]*peer
 
 	applies      []pendingApply
@@ -466,6 +469,7 @@
 	c.expireEntries(now)
 	c.noteLagging(now)
 	c.pushInTime(now)
+	c.tellInTime(now)
 	c.expireReads(now)
 	c.expireClaims(now)
 	c.advanceClaims(now)
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -1,7 +1,9 @@
 package controller_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"comfreyplank.org/core/controller"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/subscriber"
 	"comfreyplank.org/core/validator"
 )
 
@@ -576,3 +579,61 @@
 		assert.Assert(t, got <= int(most), "%s was called %d times, %d expected", c.name, got, most)
 	}
 }
+
+// TestLargeDocumentThatIsWrongAtItsEndGoesNowhere: a document of 1,400 routes with a fault in the
+// last one is refused with that fault named, and no entry or replica gets any of it.
+func TestLargeDocumentThatIsWrongAtItsEndGoesNowhere(t *testing.T) {
+	const routes = 1400
+	s := ready(t, 3, 2)
+	doc := document(1, "large")
+	for i := range routes {
+		doc.Services[0].Routes = append(doc.Services[0].Routes, validator.Route{
+			PathPrefix: fmt.Sprint("/route-", i), DeadlineMs: 1000, Class: validator.ClassInteractive,
+		})
+	}
+	last := len(doc.Services[0].Routes) - 1
+	doc.Services[0].Routes[last].PathPrefix = "route-without-a-slash"
+	data, err := json.Marshal(doc)
+	assert.NilError(t, err)
+	actions := s.leader().machine.Handle(s.now, controller.Apply{Request: 77, Document: data})
+	assert.Equal(t, len(actions), 1, "%v", actions)
+	answer, ok := actions[0].(controller.AnswerApply)
+	assert.Assert(t, ok, "%T", actions[0])
+	assert.Equal(t, answer.Status, controller.ApplyRefused)
+	assert.Equal(t, len(answer.Problems), 1, "%v", answer.Problems)
+	assert.Assert(t, strings.Contains(answer.Problems[0].Path, fmt.Sprintf("routes[%d]", last)), "%v", answer.Problems[0])
+}
+
+// TestEndpointsThatComeTogetherAreToldAsOne lets a hundred endpoints come within half a second:
+// an entry gets some messages and not a hundred. One that leaves is told at once.
+func TestEndpointsThatComeTogetherAreToldAsOne(t *testing.T) {
+	const endpoints = 100
+	s := ready(t, 3, 1)
+	s.run(time.Second)
+	e := s.entries[0]
+	before := e.lists
+	announcement := func(i int, state registrar.State, sequence uint64) registrar.Announcement {
+		return registrar.Announcement{
+			Name: registrar.Name{Service: serviceName, Endpoint: fmt.Sprint("late-", i)}, Address: fmt.Sprint("127.0.0.2:", i), DataCentre: "dc",
+			Slots: 4, Connections: 250, State: state, Incarnation: 1, Sequence: sequence,
+		}
+	}
+	announce := func(i int) {
+		s.handle(e.peer, controller.Announce{Request: uint64(1000 + i), Announcement: announcement(i, registrar.StateServing, 1)})
+	}
+	for i := range endpoints {
+		announce(i)
+		s.run(step)
+	}
+	s.run(200 * time.Millisecond)
+	got := e.lists - before
+	most := int(endpoints*step/(100*time.Millisecond)) + 2
+	assert.Assert(t, got > 0 && got <= most, "%d messages for %d endpoints, %d expected", got, endpoints, most)
+
+	announce(endpoints)
+	s.run(2 * step)
+	assert.Equal(t, e.lists-before, got, "it is told a little later")
+	s.handleEntry(e, subscriber.Announced{Announcement: announcement(0, registrar.StateDraining, 2)})
+	s.run(4 * step) // to the replica, and back
+	assert.Equal(t, e.lists-before, got+1, "a departure is told at once")
+}
--- a/core/controller/due.go
+++ b/core/controller/due.go
@@ -19,6 +19,7 @@
 	due = earliest(due, c.nextStore)
 	due = earliest(due, c.lostUntil)
 	due = earliest(due, c.claimDue())
+	due = earliest(due, c.tellAt)
 	if c.pushDue {
 		due = earliest(due, c.nextPush)
 	}
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"comfreyplank.org/core/messenger"
@@ -36,7 +37,7 @@
 			c.news.Renewals = append(c.news.Renewals, messenger.Renewal{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load})
 		}
 	}
-	c.tellEntries(changed, nil)
+	c.tellEntries(now, changed, nil)
 	return changed
 }
 
@@ -47,13 +48,37 @@
 	return string(a.State)
 }
 
-func (c *Controller) tellEntries(changed []registrar.Announcement, removed []registrar.Name) {
-	if len(changed) == 0 && len(removed) == 0 {
-		return
+// tellInterval is how long entries may wait for news that is not urgent: those that come
+// meanwhile travel as one message to each entry.
+const tellInterval = 100 * time.Millisecond
+
+// tellEntries passes changes on to the entries, in their order: soon where endpoints come, and
+// at once where some leave.
+func (c *Controller) tellEntries(now time.Time, changed []registrar.Announcement, removed []registrar.Name) {
+	c.untold.Changed = append(c.untold.Changed, changed...)
+	c.untold.Removed = append(c.untold.Removed, removed...)
+	switch {
+	case len(removed) > 0 || slices.ContainsFunc(changed, registrar.Announcement.Leaving):
+		c.tellNow()
+	case len(changed) > 0 && c.tellAt.IsZero():
+		c.tellAt = now.Add(tellInterval)
 	}
+}
+
+// tellInTime passes on what has waited long enough.
+func (c *Controller) tellInTime(now time.Time) {
+	if !c.tellAt.IsZero() && !now.Before(c.tellAt) {
+		c.tellNow()
+	}
+}
+
+func (c *Controller) tellNow() {
+	news := c.untold
+	c.untold = messenger.Endpoints{}
+	c.tellAt = time.Time{}
 	for _, conn := range c.connections() {
 		if c.entries[conn].informed {
-			c.do(SendEntry{Conn: conn, Message: messenger.Endpoints{Changed: changed, Removed: removed}})
+			c.do(SendEntry{Conn: conn, Message: news})
 		}
 	}
 }
@@ -123,7 +148,7 @@
 			c.record(recorder.Event{Kind: recorder.KindExpired, Service: a.Service, Endpoint: a.Endpoint})
 		}
 	}
-	c.tellEntries(nil, removed)
+	c.tellEntries(now, nil, removed)
 }
 
 // compareRegistry sends all endpoints to a replica that has started anew or
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -107,13 +107,13 @@
 	stream   int
 	peer     *control
 	revision uint64
-	// states counts the whole lists of endpoints that it got, and configs the
-	// configurations.
-	states, configs int
-	grants          []balancer.ShareGranted
-	calls           map[balancer.CallID]string
-	keys            map[balancer.CallID]string
-	lastCall        balancer.CallID
+	// lists counts the lists of endpoints that it got, states those of all endpoints, and
+	// configs the configurations.
+	lists, states, configs int
+	grants                 []balancer.ShareGranted
+	calls                  map[balancer.CallID]string
+	keys                   map[balancer.CallID]string
+	lastCall               balancer.CallID
 }
 
 // backend is a stand-in endpoint.
@@ -405,8 +405,11 @@
 		if e.up && e.peer == c && conn(e) == v.Conn {
 			s.post(c.name, e.name, true, func() {
 				if e.up && e.peer == c && conn(e) == v.Conn {
-					if list, ok := v.Message.(messenger.Endpoints); ok && list.Full {
-						e.states++
+					if list, ok := v.Message.(messenger.Endpoints); ok {
+						e.lists++
+						if list.Full {
+							e.states++
+						}
 					}
 					if _, ok := v.Message.(messenger.Configured); ok {
 						e.configs++
--- a/core/drainer/drainer_test.go
+++ b/core/drainer/drainer_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 func TestStopServesOnThenFinishes(t *testing.T) {
@@ -28,3 +29,45 @@
 		assert.Equal(t, d.Phase(), s.want)
 	}
 }
+
+// TestRandomStops lets a stop come at any time while requests come and go: its phases follow
+// each other, the notice lasts as long as it should, and nothing in flight is left behind.
+func TestRandomStops(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(1000, 0)
+		notice := time.Duration(rapid.IntRange(0, 50).Draw(rt, "notice")) * time.Millisecond
+		d := New(notice)
+		var stopped time.Time
+		inFlight := 0
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(rt, "ms")) * time.Millisecond)
+			before := d.Phase()
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				if before < PhaseFinishing {
+					inFlight++
+				}
+			case 1:
+				inFlight = max(0, inFlight-1)
+			case 2:
+				if stopped.IsZero() && rapid.Bool().Draw(rt, "stop") {
+					stopped = now
+				}
+				if !stopped.IsZero() {
+					d = d.WithStop(now) // a second signal changes nothing
+				}
+			}
+			d = d.With(now, inFlight)
+			switch {
+			case d.Phase() < before:
+				rt.Fatalf("phase %d after %d", d.Phase(), before)
+			case d.Ready() != stopped.IsZero():
+				rt.Fatalf("ready is %t, and the stop was asked for at %s", d.Ready(), stopped)
+			case d.Phase() >= PhaseFinishing && now.Sub(stopped) < notice:
+				rt.Fatalf("the notice ended after %s of %s", now.Sub(stopped), notice)
+			case d.Phase() == PhaseDone && before != PhaseDone && inFlight > 0:
+				rt.Fatalf("done with %d in flight", inFlight)
+			}
+		}
+	})
+}
