Forget a successor that is lost before it has a vote

Cause: found by the random replacements (kept as a plain test): a replica that joined a group and was lost for good before it could vote stayed a member without a vote: only voters were let go, and only where there were too many. The leader went on sending to it. Change: where there are enough voters, a member without a vote that was silent for three seconds is let go as well; if it comes back, it joins anew. Test first: TestSuccessorThatIsLostIsForgotten failed, and the random replacements.

--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -187,17 +187,18 @@
 // over from it: longer than a restart, a freeze or a cut lasts as a rule.
 const departedAfter = 3 * time.Second
 
-// dismiss takes the vote from the member that has been silent for longest, where
-// there are more voters than there should be.
+// dismiss lets the member go that has been silent for longest: a voter where there are more
+// than there should be, and one without a vote where there are enough voters.
 func (c *Controller) dismiss(now time.Time, g *group) {
 	members := g.replica.Members()
-	if c.size == 0 || g.replica.Role() != replicator.RoleLeader || members.Voters() <= c.size {
+	if c.size == 0 || g.replica.Role() != replicator.RoleLeader || members.Voters() < c.size {
 		return
 	}
+	spare := members.Voters() > c.size
 	var silent replicator.Member
 	oldest := now.Add(-departedAfter)
 	for _, m := range members {
-		if _, heard := g.replica.Report(m.ID); m.ID != c.self.ID && m.Voter && heard.Before(oldest) {
+		if _, heard := g.replica.Report(m.ID); m.ID != c.self.ID && m.Voter == spare && heard.Before(oldest) {
 			silent = m
 			oldest = heard
 		}
--- a/core/controller/seat_test.go
+++ b/core/controller/seat_test.go
@@ -126,6 +126,25 @@
 	}
 }
 
+// TestSuccessorThatIsLostIsForgotten loses a successor before it has a vote: it does not stay a
+// member, and the next one gets the seat.
+func TestSuccessorThatIsLostIsForgotten(t *testing.T) {
+	s := seated(t, 5, 2, 3)
+	old := s.controls[0]
+	if s.leader() == old {
+		old = s.controls[1]
+	}
+	s.lose(old)
+	lost := s.join()
+	for len(s.leader().machine.Status(s.now).Members) == 5 {
+		s.run(step)
+	}
+	s.lose(lost)
+	s.join()
+	s.run(10 * time.Second)
+	assert.Assert(t, s.settled(), "%v", s.leader().machine.Status(s.now))
+}
+
 // TestRandomReplacements replaces replicas at random, as many at once as may be lost, while
 // documents change: what was acknowledged stays, and all seats are held again in the end.
 func TestRandomReplacements(t *testing.T) {
