--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -637,3 +637,38 @@
 	s.run(4 * step) // to the replica, and back
 	assert.Equal(t, e.lists-before, got+1, "a departure is told at once")
 }
+
+// TestDeparturesByTheDozen lets sixty endpoints leave at once, each at another replica than the
+// one before: all of them are told within a second, and every entry knows of all of them then.
+func TestDeparturesByTheDozen(t *testing.T) {
+	const endpoints = 60
+	s := ready(t, 5, 20)
+	announcement := func(i int, state registrar.State, sequence uint64) registrar.Announcement {
+		return registrar.Announcement{
+			Name: registrar.Name{Service: serviceName, Endpoint: fmt.Sprint("leaver-", i)}, Address: fmt.Sprint("127.0.0.3:", i), DataCentre: "dc",
+			Slots: 4, Connections: 250, State: state, Incarnation: 1, Sequence: sequence,
+		}
+	}
+	for i := range endpoints {
+		assert.Assert(t, s.announced(s.controls[i%5], announcement(i, registrar.StateServing, 1)))
+	}
+	s.run(time.Second)
+	before := len(s.taken)
+	for i := range endpoints {
+		s.handle(s.controls[i%5], controller.Announce{Request: uint64(5000 + i), Announcement: announcement(i, registrar.StateDraining, 2)})
+	}
+	s.run(time.Second)
+	assert.Equal(t, len(s.taken)-before, endpoints)
+	for _, taken := range s.taken[before:] {
+		assert.Assert(t, taken)
+	}
+	for _, e := range s.entries {
+		leaving := 0
+		for _, l := range e.balancer.Leaving() {
+			if strings.HasPrefix(l.Name.Endpoint, "leaver-") {
+				leaving++
+			}
+		}
+		assert.Equal(t, leaving, endpoints, e.name)
+	}
+}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -278,4 +278,4 @@
 	return list
 }
 
-func compare(a, b Announcement) int { return a.Name.Compare(b.Name) }
+func compare(a, b Announcement) int { return a.Compare(b.Name) }
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -29,7 +29,7 @@
 	if v.Full {
 		s.startList(now)
 	}
-	var changed []registrar.Name
+	changed := make([]registrar.Name, 0, len(v.Changed)+len(v.Removed))
 	for _, a := range v.Changed {
 		s.relayed[a.Name] = a
 		delete(s.unlisted, a.Name)
