Let rounds of both logs travel together, and timeouts be longer than our own

Besides, the keeper cut a document's timeouts at the server's own, of which documents may be longer (10 min). Change: a leader that is called for anything takes its next round once half the time to it is over, so that both logs come to beat together and share a message. The server's timeouts are longer than any in force; without one, 10 s and 2 min hold as before.

--- a/core/replicator/due.go
+++ b/core/replicator/due.go
@@ -6,6 +6,11 @@
 // meanwhile are confirmed together.
 const confirmInterval = 25 * time.Millisecond
 
+// roundsTogether is the part of the time between two rounds after which a leader that is called
+// for something else takes its next round: rounds of several groups come together so, and
+// travel in one message.
+const roundsTogether = 2
+
 // Due returns when the replica wants a Tick next; zero while only an input can bring it work.
 func (r *Replica) Due() time.Time {
 	if r.role == RoleLeader {
--- a/core/replicator/election.go
+++ b/core/replicator/election.go
@@ -23,7 +23,7 @@
 	if r.takeOverTo != "" && now.After(r.takeOverEnd) {
 		r.takeOverTo = ""
 	}
-	if !now.Before(r.beatAt) {
+	if !now.Before(r.beatAt) || now.Sub(r.broadcastAt) >= r.heartbeat/roundsTogether {
 		r.resetWindows()
 		r.broadcast(now)
 	}
--- a/entry/keeper/keeper.go
+++ b/entry/keeper/keeper.go
@@ -8,6 +8,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -16,14 +17,21 @@
 	"time"
 )
 
-// Bounds of the timeouts; what is in force is shorter, or not set.
+// Timeouts where none are in force.
 const (
-	maxHeaderTimeout = 10 * time.Second
-	maxIdleTimeout   = 2 * time.Minute
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+)
+
+// Timeouts of the server itself, which must be longer than any that may be in force. The
+// keeper knows by their lengths what the server waits for.
+const (
+	maxHeaderTimeout = 10 * time.Minute
+	maxIdleTimeout   = 2 * maxHeaderTimeout
 )
 
 // Timeouts are how long a request's header may take, and how long a connection may be
-// without a request. Zero stands for the keeper's own bound.
+// without a request. Zero leaves it to the keeper. Neither is above ten minutes.
 type Timeouts struct {
 	Header, Idle time.Duration
 }
@@ -144,14 +152,10 @@
 // inForce returns how long to wait where the server would wait for so long.
 func (k *Keeper) inForce(wait time.Duration) time.Duration {
 	limit := k.timeouts()
-	most := limit.Idle
 	if wait <= maxHeaderTimeout {
-		most = limit.Header
-	}
-	if most <= 0 {
-		return wait
+		return min(wait, cmp.Or(limit.Header, defaultHeaderTimeout))
 	}
-	return min(wait, most)
+	return min(wait, cmp.Or(limit.Idle, defaultIdleTimeout))
 }
 
 func (c *connection) isServing() bool {
--- a/entry/keeper/keeper_test.go
+++ b/entry/keeper/keeper_test.go
@@ -136,6 +136,59 @@
 	assert.Equal(t, k.Serving(), 0)
 }
 
+// TestLongTimeoutsAreInForceToo: the document may allow more than the keeper's own timeouts.
+func TestLongTimeoutsAreInForceToo(t *testing.T) {
+	tests := []struct {
+		name string
+		wait time.Duration
+		in   keeper.Timeouts
+		want time.Duration
+	}{
+		{"a header, by default", 10 * time.Minute, keeper.Timeouts{}, 10 * time.Second},
+		{"a header, longer", 10 * time.Minute, keeper.Timeouts{Header: time.Minute, Idle: time.Second}, time.Minute},
+		{"idle, by default", 20 * time.Minute, keeper.Timeouts{}, 2 * time.Minute},
+		{"idle, longer", 20 * time.Minute, keeper.Timeouts{Header: time.Second, Idle: 9 * time.Minute}, 9 * time.Minute},
+		{"idle, shorter", 20 * time.Minute, keeper.Timeouts{Idle: 15 * time.Second}, 15 * time.Second},
+	}
+	for _, tt := range tests {
+		k := keeper.New(func() keeper.Timeouts { return tt.in })
+		s := &http.Server{}
+		k.Watch(s)
+		assert.Assert(t, tt.wait == s.ReadHeaderTimeout || tt.wait == s.IdleTimeout, tt.name)
+		mine, theirs := net.Pipe()
+		defer func() { _ = mine.Close() }() // nothing is sent on it
+		defer func() { _ = theirs.Close() }()
+		seen := &deadlines{Conn: mine}
+		conn, err := k.Listener(&single{conn: seen}).Accept()
+		assert.NilError(t, err)
+		now := time.Now()
+		assert.NilError(t, conn.SetReadDeadline(now.Add(tt.wait)))
+		got := seen.at.Sub(now)
+		assert.Assert(t, got > tt.want-time.Second && got < tt.want+time.Second, "%s: %s", tt.name, got)
+	}
+}
+
+// single accepts one connection.
+type single struct {
+	net.Listener
+	conn net.Conn
+}
+
+// Accept is part of net.Listener.
+func (s *single) Accept() (net.Conn, error) { return s.conn, nil }
+
+// deadlines remembers the read deadline of a connection.
+type deadlines struct {
+	net.Conn
+	at time.Time
+}
+
+// SetReadDeadline is part of net.Conn.
+func (d *deadlines) SetReadDeadline(at time.Time) error {
+	d.at = at
+	return nil
+}
+
 // TestTimeoutsAreThoseInForce: a header that does not come to its end, and a connection without
 // a request, last as long as is in force then, also where that changes while the server runs.
 func TestTimeoutsAreThoseInForce(t *testing.T) {
