Forget entries that go without having had standing

Cause: since replicas are called when due, lost entries are forgotten at the end of the first standing among them; one without standing had no such time, and none was forgotten any more after that. Seen in the status of a replica while a soak's finding was traced: 20 former streams of one entry, and more with each attempt to reconnect. Change: an entry without standing is forgotten at once. Test first: streams that come and go, with and without standing, left 46 entries instead of 2. Measured: tests.

--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -672,3 +672,29 @@
 		assert.Equal(t, leaving, endpoints, e.name)
 	}
 }
+
+// TestEntriesThatComeAndGoAreForgotten opens and ends streams of entries, with and without
+// standing: a replica that rests keeps those that are there, and no others.
+func TestEntriesThatComeAndGoAreForgotten(t *testing.T) {
+	s := ready(t, 3, 2)
+	for range 20 {
+		for _, e := range s.entries {
+			s.closeStream(e)
+		}
+		s.run(20 * step)
+	}
+	s.isolate(s.controls[2].name, true)
+	for range 20 {
+		for _, e := range s.entries {
+			s.closeStream(e)
+		}
+		s.run(20 * step)
+	}
+	s.heal()
+	s.run(5 * time.Second)
+	known := 0
+	for _, c := range s.controls {
+		known += len(c.machine.Status(s.now).Entries)
+	}
+	assert.Equal(t, known, len(s.entries))
+}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -181,13 +181,17 @@
 	c.answerApplies(now)
 }
 
-func (c *Controller) onEntryLost(_ time.Time, conn Conn) {
+func (c *Controller) onEntryLost(now time.Time, conn Conn) {
 	e, ok := c.entries[conn]
 	if !ok {
 		return
 	}
 	e.lost = true
-	c.lostUntil = earliest(c.lostUntil, e.standingUntil)
+	if now.Before(e.standingUntil) {
+		c.lostUntil = earliest(c.lostUntil, e.standingUntil)
+	} else {
+		delete(c.entries, conn)
+	}
 	c.record(recorder.Event{Kind: recorder.KindEntryLeft, Detail: e.hello.Entry})
 }
 
