Give up a link between replicas that opens and says nothing

A link that is cut in one direction while it opens is accepted, and its first bytes are lost; the library waits 20 s for them, and the watch for silence began only after that. The replica at its end stayed alone for so long, and the stop of an entry waited with it for its commands to the claims log. Change: the watch for silence begins before the link opens. A stop that takes long says each two seconds what it waits for; a replica's status tells where its claims log stands, which showed it.

--- a/control/driver/peers.go
+++ b/control/driver/peers.go
@@ -85,12 +85,13 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
+	// From the start: a connection that opens and then says nothing is as bad as a silent one.
+	heard := time.AfterFunc(messenger.SilenceLimit, cancel)
+	defer heard.Stop()
 	stream, err := wire.NewControlClient(conn).Exchange(ctx)
 	if err != nil {
 		return err
 	}
-	heard := time.AfterFunc(messenger.SilenceLimit, cancel)
-	defer heard.Stop()
 	p.group.Go(func() {
 		defer cancel()
 		for {
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -16,17 +16,37 @@
 	Replica string `json:"replica"`
 	// HearsMajority is false on a replica that may be cut off: what it says may be
 	// behind.
-	HearsMajority bool                     `json:"hears-majority"`
-	Role          string                   `json:"role"`
-	Leader        string                   `json:"leader"`
-	Term          uint64                   `json:"term"`
-	Revision      uint64                   `json:"revision"`
-	InForce       uint64                   `json:"in-force-everywhere"`
-	Claims        int                      `json:"claims"`
-	Members       replicator.Membership    `json:"members"`
-	ClaimsMembers replicator.Membership    `json:"claims-members"`
-	Entries       []EntryStatus            `json:"entries"`
-	Endpoints     []registrar.Announcement `json:"endpoints"`
+	HearsMajority bool                  `json:"hears-majority"`
+	Role          string                `json:"role"`
+	Leader        string                `json:"leader"`
+	Term          uint64                `json:"term"`
+	Revision      uint64                `json:"revision"`
+	InForce       uint64                `json:"in-force-everywhere"`
+	Claims        int                   `json:"claims"`
+	Members       replicator.Membership `json:"members"`
+	ClaimsMembers replicator.Membership `json:"claims-members"`
+	// ClaimsLog is where the log of the claims stands.
+	ClaimsLog LogStatus                `json:"claims-log"`
+	Entries   []EntryStatus            `json:"entries"`
+	Endpoints []registrar.Announcement `json:"endpoints"`
+}
+
+// LogStatus is what a replica knows of one of its logs.
+type LogStatus struct {
+	Role   string `json:"role"`
+	Leader string `json:"leader"`
+	Term   uint64 `json:"term"`
+	Last   uint64 `json:"last"`
+	Commit uint64 `json:"commit"`
+	// Applied is how far the state goes.
+	Applied uint64 `json:"applied"`
+}
+
+func (c *Controller) logStatus(g *group) LogStatus {
+	return LogStatus{
+		Role: g.replica.Role().String(), Leader: c.nameOf(g.replica.Leader()), Term: g.replica.Term(),
+		Last: g.replica.LastIndex(), Commit: g.replica.Commit(), Applied: g.applied,
+	}
 }
 
 // EntryStatus is what a replica knows of an entry that follows it.
@@ -52,6 +72,7 @@
 		Claims:        c.claimer.Len(),
 		Members:       c.config.replica.Members(),
 		ClaimsMembers: c.claims.replica.Members(),
+		ClaimsLog:     c.logStatus(&c.claims),
 		Endpoints:     c.registry.List(""),
 	}
 	for _, e := range c.entries {
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -297,8 +297,8 @@
 // Standing reports whether the entry is known to be up to date.
 func (s *Subscriber) Standing(now time.Time) bool { return now.Before(s.standingUntil) }
 
-// Settled reports whether no command waits for an answer.
-func (s *Subscriber) Settled() bool { return len(s.commands) == 0 }
+// Waiting returns how many commands wait for an answer.
+func (s *Subscriber) Waiting() int { return len(s.commands) }
 
 func (s *Subscriber) do(a Action) { s.actions = append(s.actions, a) }
 
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -148,13 +148,16 @@
 	return f.machine.Knows(service)
 }
 
-// Settled reports whether nothing waits for the claims log.
-func (f *Follower) Settled() bool {
+// Waiting returns how many commands wait for the claims log.
+func (f *Follower) Waiting() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.machine.Settled()
+	return f.machine.Waiting()
 }
 
+// Settled reports whether nothing waits for the claims log.
+func (f *Follower) Settled() bool { return f.Waiting() == 0 }
+
 // Revision returns the revision in force.
 func (f *Follower) Revision() uint64 {
 	f.mu.Lock()
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -37,6 +37,8 @@
 	// maxHeaderBytes is far above what the handler accepts.
 	maxHeaderBytes = 8 * server.MaxHeaderBytes
 	drainInterval  = 20 * time.Millisecond
+	// waitingInterval is how often a stop that takes long says what it waits for.
+	waitingInterval = 2 * time.Second
 )
 
 // Settings are what an entry is told at its start.
@@ -237,10 +239,15 @@
 	if err := public.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests were still in flight")
 	}
+	told := time.Now()
 	for d.Phase() != drainer.PhaseDone || !i.follower.Settled() || i.keeper.Serving() > 0 {
 		if ctx.Err() != nil {
 			return errors.New("attempts or claims were still in flight")
 		}
+		if now := time.Now(); now.Sub(told) >= waitingInterval {
+			told = now
+			slog.Info("waiting to stop", "in-flight", i.dispatcher.InFlight(), "serving", i.keeper.Serving(), "commands", i.follower.Waiting())
+		}
 		time.Sleep(drainInterval)
 		d = d.With(time.Now(), i.dispatcher.InFlight())
 	}
--- a/soaker/runner/soak_test.go
+++ b/soaker/runner/soak_test.go
@@ -43,6 +43,7 @@
 		{"a replica stops while connections to it are silent: it waited 120 s for their first bytes", 9, planner.Size{Controls: 5, Entries: 3, Endpoints: 4}, 8 * time.Second},
 		{"an entry stops while callers go on: a request that crossed the end of its connection was passed on", 403, planner.Size{Controls: 3, Entries: 3, Endpoints: 4}, 12 * time.Second},
 		{"an entry stops: an earlier sending of the call had run", 300, planner.Size{Controls: 3, Entries: 3, Endpoints: 4}, 12 * time.Second},
+		{"links to replicas open in one direction only: a replica stayed alone for 20 s, and an entry did not end its stop", 20506, planner.Size{Controls: 3, Entries: 3, Endpoints: 4}, 10 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
