Find out the next due time in one place

Cause: three machines had a function of their own for the earlier of two times, zero for never. Measured: all tests of core.

--- a/core/balancer/due.go
+++ b/core/balancer/due.go
@@ -4,28 +4,21 @@
 	"time"
 
 	"comfreyplank.org/core/prober"
+	"comfreyplank.org/core/scheduler"
 )
 
 // Due returns when the balancer wants a Tick next; zero while only an input can bring it
 // work. It changes only with Handle.
 func (b *Balancer) Due() time.Time {
 	b.dropDead()
-	var due time.Time
+	due := b.probeAt
 	if len(b.timers) > 0 {
-		due = b.timers[0].at
+		due = scheduler.Earliest(due, b.timers[0].at)
 	}
 	if b.queue.Len() > 0 {
-		due = earliest(due, b.changeAt)
+		due = scheduler.Earliest(due, b.changeAt)
 	}
-	return earliest(due, b.probeAt)
-}
-
-// earliest returns the earlier of two times, where zero stands for never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
+	return due
 }
 
 // probeInterval is the least time between two probes, which spreads them over endpoints that
@@ -66,7 +59,7 @@
 		closes = direct
 	}
 	if now.Before(closes) {
-		at = earliest(at, closes)
+		at = scheduler.Earliest(at, closes)
 	}
 	return at
 }
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -9,6 +9,7 @@
 	"comfreyplank.org/core/picker"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/scheduler"
 )
 
 // Tuning of ejection.
@@ -228,7 +229,7 @@
 	}
 	b.subsetChanged = b.subsetChanged || closed != c.Closed
 	c.Closed = closed
-	b.changeAt = earliest(b.changeAt, b.changesAt(now, e))
+	b.changeAt = scheduler.Earliest(b.changeAt, b.changesAt(now, e))
 }
 
 // oldest keeps the candidate's view of what is in flight.
--- a/core/controller/due.go
+++ b/core/controller/due.go
@@ -5,6 +5,7 @@
 
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/scheduler"
 )
 
 // unsettledInterval is how often time passes while the replica waits for what others do:
@@ -13,27 +14,24 @@
 
 // Due returns when the controller wants a Tick next. It changes only with Handle.
 func (c *Controller) Due() time.Time {
-	due := earliest(c.config.replica.Due(), c.claims.replica.Due())
-	due = earliest(due, c.nextBeat)
-	due = earliest(due, c.nextShare)
-	due = earliest(due, c.nextStore)
-	due = earliest(due, c.lostUntil)
-	due = earliest(due, c.claimDue())
-	due = earliest(due, c.tellAt)
+	due := scheduler.Earliest(
+		c.config.replica.Due(), c.claims.replica.Due(),
+		c.nextBeat, c.nextShare, c.nextStore, c.lostUntil, c.claimDue(), c.tellAt,
+	)
 	if c.pushDue {
-		due = earliest(due, c.nextPush)
+		due = scheduler.Earliest(due, c.nextPush)
 	}
 	if c.claims.replica.Role() == replicator.RoleLeader {
-		due = earliest(due, c.nextAdvance)
+		due = scheduler.Earliest(due, c.nextAdvance)
 	}
 	if at := c.config.replica.QuorumAt(); !c.lagging && !at.IsZero() {
-		due = earliest(due, at.Add(QuorumWindow+1))
+		due = scheduler.Earliest(due, at.Add(QuorumWindow+1))
 	}
 	for _, r := range c.reads {
-		due = earliest(due, r.until)
+		due = scheduler.Earliest(due, r.until)
 	}
 	if c.unsettled() {
-		due = earliest(due, c.tickedAt.Add(unsettledInterval))
+		due = scheduler.Earliest(due, c.tickedAt.Add(unsettledInterval))
 	}
 	return due
 }
@@ -76,11 +74,3 @@
 	}
 	return false
 }
-
-// earliest returns the earlier of two times, where zero stands for never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
-}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -8,6 +8,7 @@
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/scheduler"
 )
 
 type replicatorRead = replicator.Read
@@ -188,7 +189,7 @@
 	}
 	e.lost = true
 	if now.Before(e.standingUntil) {
-		c.lostUntil = earliest(c.lostUntil, e.standingUntil)
+		c.lostUntil = scheduler.Earliest(c.lostUntil, e.standingUntil)
 	} else {
 		delete(c.entries, conn)
 	}
@@ -205,7 +206,7 @@
 		switch {
 		case !e.lost:
 		case now.Before(e.standingUntil):
-			c.lostUntil = earliest(c.lostUntil, e.standingUntil)
+			c.lostUntil = scheduler.Earliest(c.lostUntil, e.standingUntil)
 		default:
 			delete(c.entries, conn)
 		}
--- a/core/subscriber/due.go
+++ b/core/subscriber/due.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/scheduler"
 )
 
 // atOnce is a time that has passed.
@@ -12,12 +13,11 @@
 // Due returns when the subscriber wants a Tick next; zero while only an input can bring it
 // work. It changes only with Handle.
 func (s *Subscriber) Due() time.Time {
-	due := earliest(s.streamDue(), s.direct.NextExpiry())
+	due := scheduler.Earliest(s.streamDue(), s.direct.NextExpiry(), s.unlistedDue(), s.stopAt)
 	if s.stood {
-		due = earliest(due, s.standingUntil)
+		due = scheduler.Earliest(due, s.standingUntil)
 	}
-	due = earliest(due, s.unlistedDue())
-	return earliest(due, s.stopAt)
+	return due
 }
 
 // streamDue returns when the stream, or the search for one, needs something.
@@ -25,11 +25,11 @@
 	switch {
 	case s.connected:
 		silent := s.heardAt.Add(messenger.SilenceLimit + 1)
-		due := earliest(silent, s.followedAt.Add(standingPatience+1))
+		due := scheduler.Earliest(silent, s.followedAt.Add(standingPatience+1), s.nextBeat)
 		if c := s.nextResend(); c != nil {
-			due = earliest(due, c.sentAt.Add(commandAgain))
+			due = scheduler.Earliest(due, c.sentAt.Add(commandAgain))
 		}
-		return earliest(due, s.nextBeat)
+		return due
 	case len(s.replicas) == 0 && !s.connecting:
 		return time.Time{}
 	case s.retryAt.IsZero():
@@ -45,11 +45,3 @@
 	}
 	return s.unlistedAt
 }
-
-// earliest returns the earlier of two times, where zero stands for never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
-}
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -8,6 +8,7 @@
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/scheduler"
 	"comfreyplank.org/core/validator"
 )
 
@@ -113,7 +114,7 @@
 	var dropped []registrar.Name
 	for name, until := range s.unlisted {
 		if now.Before(until) {
-			s.unlistedAt = earliest(s.unlistedAt, until)
+			s.unlistedAt = scheduler.Earliest(s.unlistedAt, until)
 			continue
 		}
 		delete(s.unlisted, name)
