Let a test of the keeper wait until the connection is idle

Cause: the test sent its second request before the server had taken the connection for idle: the server's look-ahead of the first request read a byte of it, was held by the test, and the shutdown waited for ever. Seen once of some dozen runs, and beside load (600 s, given up). Change: the test waits for the idle state, and bounds the shutdown. Lines that two tests had in common stand once.

--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -53,14 +53,7 @@
 	}}
 	f.Configure(validator.Document{Services: []validator.Service{service}})
 	f.Stand(time.Now().Add(time.Hour))
-	var list []balancer.Endpoint
-	for i, address := range endpoints {
-		list = append(list, balancer.Endpoint{Announcement: registrar.Announcement{
-			Name: registrar.Name{Service: "s", Endpoint: fmt.Sprint("e", i)}, Address: address, Slots: 4, Connections: 100,
-			State: registrar.StateServing, Incarnation: 1,
-		}})
-	}
-	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: list, Entries: 1})
+	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: endpointsAt(endpoints), Entries: 1})
 	f.server = httptest.NewServer(f.Dispatcher)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.group.Go(func() { f.Run(ctx) })
@@ -72,6 +65,18 @@
 	return f
 }
 
+// endpointsAt returns endpoints of the service at these addresses.
+func endpointsAt(addresses []string) []balancer.Endpoint {
+	list := make([]balancer.Endpoint, 0, len(addresses))
+	for i, address := range addresses {
+		list = append(list, balancer.Endpoint{Announcement: registrar.Announcement{
+			Name: registrar.Name{Service: "s", Endpoint: fmt.Sprint("e", i)}, Address: address, Slots: 4, Connections: 100,
+			State: registrar.StateServing, Incarnation: 1,
+		}})
+	}
+	return list
+}
+
 func (f *fixture) claim(service string, call balancer.CallID, cmd claimer.Command) {
 	f.mu.Lock()
 	result := f.claimer.Apply(cmd)
--- a/entry/dispatcher/endless_test.go
+++ b/entry/dispatcher/endless_test.go
@@ -18,7 +18,6 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyplank.org/core/balancer"
-	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/validator"
 )
 
@@ -144,14 +143,7 @@
 		{PathPrefix: "/", DeadlineMs: int(routeTime.Milliseconds()), Class: validator.ClassInteractive},
 	}}
 	f.Configure(validator.Document{Services: []validator.Service{service}})
-	var list []balancer.Endpoint
-	for i, address := range addresses {
-		list = append(list, balancer.Endpoint{Announcement: registrar.Announcement{
-			Name: registrar.Name{Service: "s", Endpoint: fmt.Sprint("e", i)}, Address: address, Slots: 4, Connections: 100,
-			State: registrar.StateServing, Incarnation: 1,
-		}})
-	}
-	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: list, Entries: 1})
+	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: endpointsAt(addresses), Entries: 1})
 }
 
 // ask sends a request and returns what the caller gets, and its whole body.
--- a/entry/keeper/keeper_test.go
+++ b/entry/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -62,6 +63,20 @@
 	assert.NilError(t, err)
 }
 
+// serve lets the server serve at the keeper's listener, and returns a connection to it.
+func serve(t *testing.T, k *keeper.Keeper, server *http.Server, l net.Listener) net.Conn {
+	t.Helper()
+	k.Watch(server)
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(func() { _ = server.Close() }) // it may have been shut down
+	group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(l)), http.ErrServerClosed)) })
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() }) // the test has read all that it wants
+	return c
+}
+
 // TestRequestThatCrossesTheShutdown: a request that the server reads while it closes idle
 // connections is not served, as its answer could not come.
 func TestRequestThatCrossesTheShutdown(t *testing.T) {
@@ -70,23 +85,28 @@
 	l := &crossed{Listener: raw, hold: make(chan struct{}), read: make(chan struct{}, 1), free: make(chan struct{})}
 	k := keeper.New(none)
 	var served atomic.Int64
-	server := &http.Server{Handler: k.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))}
-	k.Watch(server)
-	var group sync.WaitGroup
-	defer group.Wait()
-	group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(l)), http.ErrServerClosed)) })
-	c, err := net.Dial("tcp", raw.Addr().String())
-	assert.NilError(t, err)
-	defer func() { _ = c.Close() }() // the test has read all that it wants
+	idle := make(chan struct{}, 1)
+	server := &http.Server{
+		Handler: k.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			if s == http.StateIdle {
+				idle <- struct{}{}
+			}
+		},
+	}
+	c := serve(t, k, server, l)
 	answers := bufio.NewReader(c)
 	request(t, c)
 	_, err = http.ReadResponse(answers, nil)
 	assert.NilError(t, err)
 
+	<-idle // the server waits for the next request, and takes the connection for idle
 	close(l.hold)
 	request(t, c)
 	<-l.read
-	assert.NilError(t, server.Shutdown(t.Context()))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, server.Shutdown(ctx))
 	close(l.free)
 	_, err = http.ReadResponse(answers, nil)
 	assert.Check(t, err != nil, "the connection was closed")
@@ -117,13 +137,7 @@
 			w.WriteHeader(http.StatusNoContent)
 		})),
 	}
-	k.Watch(server)
-	var group sync.WaitGroup
-	defer group.Wait()
-	group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(raw)), http.ErrServerClosed)) })
-	c, err := net.Dial("tcp", raw.Addr().String())
-	assert.NilError(t, err)
-	defer func() { _ = c.Close() }() // the test has read all that it wants
+	c := serve(t, k, server, raw)
 	request(t, c)
 	<-serving
 	assert.Equal(t, k.Serving(), 1)
@@ -215,15 +229,8 @@
 			inForce.Store(&keeper.Timeouts{})
 			k := keeper.New(func() keeper.Timeouts { return *inForce.Load() })
 			server := &http.Server{Handler: k.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}
-			k.Watch(server)
-			var group sync.WaitGroup
-			defer group.Wait()
-			group.Go(func() { assert.Check(t, errors.Is(server.Serve(k.Listener(raw)), http.ErrServerClosed)) })
-			defer func() { assert.Check(t, server.Close()) }()
 			inForce.Store(&tt.limits)
-			c, err := net.Dial("tcp", raw.Addr().String())
-			assert.NilError(t, err)
-			defer func() { _ = c.Close() }() // it may be closed already
+			c := serve(t, k, server, raw)
 			answers := bufio.NewReader(c)
 			if tt.before {
 				request(t, c)
