--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -70,12 +70,12 @@
 		return
 	}
 	var v balancer.EndpointsChanged
-	for _, name := range names {
-		if a, ok := s.known(name); ok && !a.Gone && service.Admits(a.Endpoint) {
+	for _, endpoint := range names {
+		if a, ok := s.known(endpoint); ok && !a.Gone && service.Admits(a.Endpoint) {
 			v.Changed = append(v.Changed, s.endpoint(now, service, a))
 			continue
 		}
-		v.Removed = append(v.Removed, name.Endpoint)
+		v.Removed = append(v.Removed, endpoint.Endpoint)
 	}
 	s.do(Change{Service: name, Changed: v})
 }
