Close idle connections of an entry that stops once nothing is in flight

Ruled out: a request that was passed on and cut (the keeper holds those); the grace time. Change: after the notice the entry takes no new connections, and serves those it has until nothing was in flight for 250 ms; two seconds or a quarter of the grace time at the most. Test first: the phases of a stop, with answers that end soon, late and never, and random ones.

--- a/core/drainer/drainer.go
+++ b/core/drainer/drainer.go
@@ -14,7 +14,10 @@
 	// PhaseNoticing: readiness fails, and calls are still served while the
 	// platform's balancer notices.
 	PhaseNoticing
-	// PhaseFinishing: the listener is closed and requests in flight end.
+	// PhaseQuieting: the listener is closed, and open connections are still served until
+	// nothing has been in flight for a little while.
+	PhaseQuieting
+	// PhaseFinishing: idle connections are closed and requests in flight end.
 	PhaseFinishing
 	// PhaseDone: nothing is in flight.
 	PhaseDone
@@ -24,12 +27,25 @@
 type Drainer struct {
 	phase  Phase
 	notice time.Duration
-	since  time.Time
+	// quiet is for how long nothing must be in flight before idle connections are closed,
+	// and patience how long that is waited for.
+	quiet, patience time.Duration
+	since           time.Time
+	// busyAt is when something was last in flight.
+	busyAt time.Time
 }
 
 // New returns a drainer that serves on for the notice time after a stop begins.
 func New(notice time.Duration) Drainer { return Drainer{notice: notice} }
 
+// WithQuiet lets idle connections stay open until nothing was in flight for so long, or for
+// the time of patience: a request that is on its way behind a long answer still arrives.
+func (d Drainer) WithQuiet(quiet, patience time.Duration) Drainer {
+	d.quiet = quiet
+	d.patience = patience
+	return d
+}
+
 // Phase returns the current phase.
 func (d Drainer) Phase() Phase { return d.phase }
 
@@ -48,6 +64,13 @@
 // With lets time pass, with the number of requests in flight.
 func (d Drainer) With(now time.Time, inFlight int) Drainer {
 	if d.phase == PhaseNoticing && now.Sub(d.since) >= d.notice {
+		d.phase = PhaseQuieting
+		d.busyAt = now
+	}
+	if inFlight > 0 {
+		d.busyAt = now
+	}
+	if d.phase == PhaseQuieting && (now.Sub(d.busyAt) >= d.quiet || now.Sub(d.since) >= d.notice+d.patience) {
 		d.phase = PhaseFinishing
 	}
 	if d.phase == PhaseFinishing && inFlight == 0 {
--- a/core/drainer/drainer_test.go
+++ b/core/drainer/drainer_test.go
@@ -30,13 +30,41 @@
 	}
 }
 
+// TestIdleConnectionsWaitForQuiet: they are closed once nothing was in flight for a while, or
+// when patience is over.
+func TestIdleConnectionsWaitForQuiet(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		// busyUntil is how long after the start something is in flight.
+		busyUntil, want time.Duration
+	}{
+		{"nothing in flight", 0, 1200 * time.Millisecond},
+		{"an answer that ends soon", 1500 * time.Millisecond, 1700 * time.Millisecond},
+		{"answers that don't end", time.Hour, 4 * time.Second},
+	}
+	for _, tt := range tests {
+		d := New(time.Second).WithQuiet(200*time.Millisecond, 3*time.Second).WithStop(start)
+		now := start
+		for d.Phase() < PhaseFinishing {
+			now = now.Add(10 * time.Millisecond)
+			inFlight := 0
+			if now.Sub(start) <= tt.busyUntil {
+				inFlight = 1
+			}
+			d = d.With(now, inFlight)
+		}
+		assert.Equal(t, now.Sub(start), tt.want, tt.name)
+	}
+}
+
 // TestRandomStops lets a stop come at any time while requests come and go: its phases follow
 // each other, the notice lasts as long as it should, and nothing in flight is left behind.
 func TestRandomStops(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Unix(1000, 0)
 		notice := time.Duration(rapid.IntRange(0, 50).Draw(rt, "notice")) * time.Millisecond
-		d := New(notice)
+		d := New(notice).WithQuiet(time.Duration(rapid.IntRange(0, 20).Draw(rt, "quiet"))*time.Millisecond, 30*time.Millisecond)
 		var stopped time.Time
 		inFlight := 0
 		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -37,6 +37,12 @@
 	// maxHeaderBytes is far above what the handler accepts.
 	maxHeaderBytes = 8 * server.MaxHeaderBytes
 	drainInterval  = 20 * time.Millisecond
+	// quietTime is for how long nothing is in flight before idle connections are closed:
+	// some ways to a caller and back. It is waited for quietPatience at most, and one part
+	// in quietShare of the grace time.
+	quietTime     = 250 * time.Millisecond
+	quietPatience = 2 * time.Second
+	quietShare    = 4
 	// waitingInterval is how often a stop that takes long says what it waits for.
 	waitingInterval = 2 * time.Second
 )
@@ -187,7 +193,7 @@
 	i.publish(recorder.Event{Kind: recorder.KindStarted})
 	slog.Info("serving", "listen", i.settings.Listen, "admin", i.settings.Admin)
 	<-stop.Done()
-	err = i.drain(public)
+	err = i.drain(public, publicListener)
 	i.cancel()
 	for _, s := range append(others, admin, public) {
 		_ = s.Close() // nothing of a caller is on it, or its time is over
@@ -219,20 +225,23 @@
 }
 
 func logError(what string, err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		slog.Error(what+" ended", "error", err)
 	}
 }
 
 // drain carries out the planned stop: unready, serving on, then finishing.
-func (i *Runner) drain(public *http.Server) error {
+func (i *Runner) drain(public *http.Server, listener net.Listener) error {
 	slog.Info("stopping", "notice", i.settings.Notice)
 	i.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "readiness fails, still serving"})
 	i.server.Stop()
-	d := drainer.New(i.settings.Notice).WithStop(time.Now())
-	for d.Phase() == drainer.PhaseNoticing {
+	d := drainer.New(i.settings.Notice).WithQuiet(quietTime, min(quietPatience, i.settings.Grace/quietShare)).WithStop(time.Now())
+	for d.Phase() < drainer.PhaseFinishing {
 		time.Sleep(drainInterval)
-		d = d.With(time.Now(), i.dispatcher.InFlight())
+		d = d.With(time.Now(), i.dispatcher.InFlight()+i.keeper.Serving())
+		if d.Phase() == drainer.PhaseQuieting {
+			_ = listener.Close() // it may be closed already
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Grace)
 	defer cancel()
