Join what is known of an endpoint in one place

Cause: the list of a service's endpoints and the changes to it each joined what replicas relayed with what endpoints said, and each left out those that are gone or not admitted. Change: the list is made of the same two steps as a change, known and usable. Behaviour as before. Measured: tests of core/subscriber, among them the random comparison of changes with whole lists.

--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"comfreyplank.org/core/balancer"
@@ -71,8 +70,8 @@
 	}
 	var v balancer.EndpointsChanged
 	for _, endpoint := range names {
-		if a, ok := s.known(endpoint); ok && !a.Gone && service.Admits(a.Endpoint) {
-			v.Changed = append(v.Changed, s.endpoint(now, service, a))
+		if e, ok := s.usable(now, service, endpoint); ok {
+			v.Changed = append(v.Changed, e)
 			continue
 		}
 		v.Removed = append(v.Removed, endpoint.Endpoint)
@@ -157,30 +156,36 @@
 	}})
 }
 
-// endpoints joins what replicas relayed and what endpoints said to this entry;
-// the newer one counts.
+// endpoints lists the endpoints of a service that may be used, by name.
 func (s *Subscriber) endpoints(now time.Time, service validator.Service) []balancer.Endpoint {
-	known := make(map[string]registrar.Announcement)
-	for name, a := range s.relayed {
+	var names []registrar.Name
+	for name := range s.relayed {
 		if name.Service == service.Name {
-			known[name.Endpoint] = a
+			names = append(names, name)
 		}
 	}
 	for _, a := range s.direct.All(service.Name) {
-		if old, ok := known[a.Endpoint]; !ok || a.Newer(old) {
-			known[a.Endpoint] = a
-		}
+		names = append(names, a.Name)
 	}
+	slices.SortFunc(names, registrar.Name.Compare)
 	var list []balancer.Endpoint
-	for _, a := range known {
-		if !a.Gone && service.Admits(a.Endpoint) {
-			list = append(list, s.endpoint(now, service, a))
+	for _, name := range slices.Compact(names) {
+		if e, ok := s.usable(now, service, name); ok {
+			list = append(list, e)
 		}
 	}
-	slices.SortFunc(list, func(a, b balancer.Endpoint) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return list
 }
 
+// usable returns an endpoint of a service, unless it is gone or the service does not admit it.
+func (s *Subscriber) usable(now time.Time, service validator.Service, name registrar.Name) (balancer.Endpoint, bool) {
+	a, ok := s.known(name)
+	if !ok || a.Gone || !service.Admits(a.Endpoint) {
+		return balancer.Endpoint{}, false
+	}
+	return s.endpoint(now, service, a), true
+}
+
 func (s *Subscriber) endpoint(now time.Time, service validator.Service, a registrar.Announcement) balancer.Endpoint {
 	if service.Connections > 0 {
 		a.Connections = service.Connections
