Let a timer of a call be judged once, and find endpoints by name directly

Cause: since timers that need nothing are passed over, what is due checked the phase of its call a second time; positions were looked up by name only to look the endpoint up by position. Change: the second checks and the look-up by position are gone; the flag for ranks says what it means. Behaviour as before. Measured: tests of core/balancer and core/controller, the linter.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -87,10 +87,10 @@
 	endpoints []*endpoint
 	// named are the same by name.
 	named map[string]*endpoint
-	// ranked are the same in the order in which this entry prefers them; rankedAnew is set
+	// ranked are the same in the order in which this entry prefers them; ranksStale is set
 	// when some came or went since they were put in order.
 	ranked     []*endpoint
-	rankedAnew bool
+	ranksStale bool
 	// candidates stand at the positions of their endpoints.
 	candidates []picker.Candidate
 	picker     *picker.Picker
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -285,7 +285,7 @@
 	assert.Assert(t, !w.endpoints0("e2").ejected())
 }
 
-func (w *bench) endpoints0(name string) *endpoint { return w.Balancer.endpoints[w.position(name)] }
+func (w *bench) endpoints0(name string) *endpoint { return w.named[name] }
 
 func TestGeneralFailureEjectsFew(t *testing.T) {
 	w := newBench(9, 0)
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -282,7 +282,7 @@
 // onHedgeDue sends a second attempt beside one that takes long. After an even
 // longer time the connections of the endpoint are in doubt.
 func (b *Balancer) onHedgeDue(now time.Time, c *call) {
-	if c.phase != phaseRunning || len(c.live) == 0 {
+	if len(c.live) == 0 {
 		return
 	}
 	a := b.attempts[c.live[0]]
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -130,12 +130,11 @@
 }
 
 func (b *Balancer) upsert(now time.Time, next Endpoint) {
-	i := b.position(next.Endpoint)
-	if i < 0 {
+	e := b.named[next.Endpoint]
+	if e == nil {
 		b.add(now, next)
 		return
 	}
-	e := b.endpoints[i]
 	restarted := next.Incarnation != e.Incarnation
 	began := e.State != registrar.StateServing && next.State == registrar.StateServing
 	if next.Direct.Before(e.Direct) {
@@ -145,7 +144,7 @@
 	e.Endpoint = next
 	e.gone = false
 	if restarted || began {
-		b.candidates[i].WarmFrom = now
+		b.candidates[e.at].WarmFrom = now
 	}
 	if restarted {
 		e.displaced = false
@@ -165,7 +164,7 @@
 	e := &endpoint{Endpoint: next, at: len(b.endpoints), rank: rankOf(b.entry, next.Endpoint)}
 	b.endpoints = append(b.endpoints, e)
 	b.named[next.Endpoint] = e
-	b.rankedAnew = true
+	b.ranksStale = true
 	b.candidates = append(b.candidates, picker.Candidate{WarmFrom: warmFrom})
 }
 
@@ -177,20 +176,13 @@
 	}
 }
 
-func (b *Balancer) position(name string) int {
-	if e := b.named[name]; e != nil {
-		return e.at
-	}
-	return picker.None
-}
-
 // removeGone drops endpoints that nobody announces and that have no work of ours.
 func (b *Balancer) removeGone() {
 	kept := 0
 	for i, e := range b.endpoints {
 		if e.gone && len(e.flights) == 0 {
 			delete(b.named, e.name())
-			b.rankedAnew = true
+			b.ranksStale = true
 			continue
 		}
 		b.endpoints[kept] = e
@@ -203,7 +195,7 @@
 	for i, e := range b.endpoints {
 		e.at = i
 	}
-	if b.rankedAnew {
+	if b.ranksStale {
 		b.order()
 	}
 }
@@ -339,19 +331,18 @@
 }
 
 func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
-	if i := b.position(v.Endpoint); i >= 0 && v.Misdirected {
-		b.displace(now, b.endpoints[i])
+	e := b.named[v.Endpoint]
+	if e != nil && v.Misdirected {
+		b.displace(now, e)
 	}
 	if v.Call != 0 {
 		b.onSampled(now, v)
 		return
 	}
 	b.prober.Refund(v.Took)
-	i := b.position(v.Endpoint)
-	if i < 0 {
+	if e == nil {
 		return
 	}
-	e := b.endpoints[i]
 	e.probing = false
 	e.evidence = now
 	b.probeSoon(now)
--- a/core/balancer/once.go
+++ b/core/balancer/once.go
@@ -83,13 +83,6 @@
 	}
 }
 
-// onClaimDue asks again for a key that another attempt held, or nobody could give.
-func (b *Balancer) onClaimDue(_ time.Time, c *call) {
-	if c.phase == phaseWaiting {
-		b.sendClaim(c)
-	}
-}
-
 func (b *Balancer) replay(now time.Time, c *call, answer claimer.Answer) {
 	if !answer.Kept {
 		c.mayHaveRun = true
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -189,8 +189,8 @@
 
 // onSampled takes in the answer of an endpoint that a call has asked.
 func (b *Balancer) onSampled(now time.Time, v ProbeEnded) {
-	if i := b.position(v.Endpoint); i >= 0 && v.OK {
-		b.reported(now, b.endpoints[i], v.Report, len(b.endpoints[i].flights))
+	if e := b.named[v.Endpoint]; e != nil && v.OK {
+		b.reported(now, e, v.Report, len(e.flights))
 	}
 	c, ok := b.calls[v.Call]
 	if !ok || c.phase != phaseSampling {
@@ -300,12 +300,8 @@
 	b.attempts[b.lastAttempt].expected = expected
 }
 
-// onSamplingDue ends the wait for answers, or for better ones. Timers of an earlier
-// wait are passed over.
+// onSamplingDue ends the wait for answers, or for better ones.
 func (b *Balancer) onSamplingDue(now time.Time, c *call) {
-	if now.Before(c.sampleDue) {
-		return
-	}
 	switch c.phase {
 	case phaseSampling:
 		b.endSampling(now, c)
--- a/core/balancer/subset.go
+++ b/core/balancer/subset.go
@@ -22,7 +22,7 @@
 
 // order sorts the endpoints by their ranks.
 func (b *Balancer) order() {
-	b.rankedAnew = false
+	b.ranksStale = false
 	b.ranked = append(b.ranked[:0], b.endpoints...)
 	slices.SortFunc(b.ranked, func(x, y *endpoint) int { return cmp.Compare(x.rank, y.rank) })
 }
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -102,7 +102,7 @@
 		case timerDeadline:
 			b.onDeadline(now, c)
 		case timerClaim:
-			b.onClaimDue(now, c)
+			b.sendClaim(c) // again: another attempt held the key, or nobody could give it
 		case timerSampling:
 			b.onSamplingDue(now, c)
 		}
