Let a command that is sent again hold up no other

Waits for the claims log stand in the order in which they end, and a command that is sent again begins its wait anew, but kept its old place: as long as it stood first, no other was forgotten. Change: each place says when its wait ends; one whose command was answered or begun anew is over. Test first: a command sent again nine times kept four others past their time (5 waits, 1 expected). Measured: tests of core/controller.

--- a/core/controller/claims.go
+++ b/core/controller/claims.go
@@ -33,6 +33,12 @@
 	until   time.Time
 }
 
+// claimWait is when the wait for a command ends, unless it was answered or begun anew.
+type claimWait struct {
+	id    claimID
+	until time.Time
+}
+
 func (c *Controller) onClaiming(now time.Time, conn Conn, v messenger.Claiming) {
 	id, ok := identify(v.Command)
 	if !ok {
@@ -43,8 +49,13 @@
 		c.do(SendEntry{Conn: conn, Message: messenger.Claimed{Request: v.Request, Refused: true}})
 		return
 	}
-	c.claimWaiters[id] = claimWaiter{conn: conn, request: v.Request, until: now.Add(claimTimeout)}
-	c.claimsInOrder = append(c.claimsInOrder, id)
+	c.awaitClaim(id, claimWaiter{conn: conn, request: v.Request, until: now.Add(claimTimeout)})
+}
+
+// awaitClaim lets an entry wait for a command. One that is sent again waits anew.
+func (c *Controller) awaitClaim(id claimID, w claimWaiter) {
+	c.claimWaiters[id] = w
+	c.claimsInOrder = append(c.claimsInOrder, claimWait{id, w.until})
 }
 
 func identify(cmd claimer.Command) (claimID, bool) {
@@ -80,7 +91,7 @@
 
 func (c *Controller) expireClaims(now time.Time) {
 	for until := c.claimDue(); !until.IsZero() && !now.Before(until); until = c.claimDue() {
-		delete(c.claimWaiters, c.claimsInOrder[0])
+		delete(c.claimWaiters, c.claimsInOrder[0].id)
 		c.claimsInOrder = c.claimsInOrder[1:]
 	}
 }
@@ -88,7 +99,8 @@
 // claimDue returns when the wait of the oldest command may end; zero without one.
 func (c *Controller) claimDue() time.Time {
 	for len(c.claimsInOrder) > 0 {
-		if w, ok := c.claimWaiters[c.claimsInOrder[0]]; ok {
+		first := c.claimsInOrder[0]
+		if w, ok := c.claimWaiters[first.id]; ok && w.until.Equal(first.until) {
 			return w.until
 		}
 		c.claimsInOrder = c.claimsInOrder[1:]
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -85,9 +85,8 @@
 	reads        []pendingRead
 	nextRead     uint64
 	claimWaiters map[claimID]claimWaiter
-	// claimsInOrder are the commands in the order in which their waits end, also some that
-	// have been answered.
-	claimsInOrder []claimID
+	// claimsInOrder are waits in the order in which they end, also some that are over.
+	claimsInOrder []claimWait
 	// lostUntil is not later than when the first lost entry is forgotten; zero without one.
 	lostUntil time.Time
 
