Wait for the phases of a planned stop by one loop

Cause: the loop before the shutdown closed the listener each 20 ms, and what is in flight was counted three times in two ways: with the callers that are served, and without them. Change: one count and one wait for a phase; the listener is closed once, between two phases.

--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -230,26 +230,34 @@
 	}
 }
 
+// inFlight returns how much a planned stop waits for, in the balancers and towards callers.
+func (i *Runner) inFlight() int { return i.dispatcher.InFlight() + i.keeper.Serving() }
+
+// await lets a planned stop go on until a phase has come.
+func (i *Runner) await(d drainer.Drainer, phase drainer.Phase) drainer.Drainer {
+	for d.Phase() < phase {
+		time.Sleep(drainInterval)
+		d = d.With(time.Now(), i.inFlight())
+	}
+	return d
+}
+
 // drain carries out the planned stop: unready, serving on, then finishing.
 func (i *Runner) drain(public *http.Server, listener net.Listener) error {
 	slog.Info("stopping", "notice", i.settings.Notice)
 	i.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "readiness fails, still serving"})
 	i.server.Stop()
 	d := drainer.New(i.settings.Notice).WithQuiet(quietTime, min(quietPatience, i.settings.Grace/quietShare)).WithStop(time.Now())
-	for d.Phase() < drainer.PhaseFinishing {
-		time.Sleep(drainInterval)
-		d = d.With(time.Now(), i.dispatcher.InFlight()+i.keeper.Serving())
-		if d.Phase() == drainer.PhaseQuieting {
-			_ = listener.Close() // it may be closed already
-		}
-	}
+	d = i.await(d, drainer.PhaseQuieting)
+	_ = listener.Close() // no new connections are taken any more
+	d = i.await(d, drainer.PhaseFinishing)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Grace)
 	defer cancel()
 	if err := public.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests were still in flight")
 	}
 	told := time.Now()
-	for d.Phase() != drainer.PhaseDone || !i.follower.Settled() || i.keeper.Serving() > 0 {
+	for d.Phase() != drainer.PhaseDone || !i.follower.Settled() {
 		if ctx.Err() != nil {
 			return errors.New("attempts or claims were still in flight")
 		}
@@ -258,7 +266,7 @@
 			slog.Info("waiting to stop", "in-flight", i.dispatcher.InFlight(), "serving", i.keeper.Serving(), "commands", i.follower.Waiting())
 		}
 		time.Sleep(drainInterval)
-		d = d.With(time.Now(), i.dispatcher.InFlight())
+		d = d.With(time.Now(), i.inFlight())
 	}
 	i.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "nothing in flight"})
 	slog.Info("stopped")
