Record the limits that endpoints name

Callers and endpoints saw: nothing yet; no request goes elsewhere than before. Check: go test of core, entry, platform.

--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -43,6 +43,7 @@
 	switch v.Ending {
 	case EndingRefused:
 		b.recordReport(now, e, v.Report, len(e.inFlight))
+		b.recordStatement(a.call, e, v.Report.Limit)
 		e.limit.RecordRefusal(len(e.inFlight), b.limitOf(e))
 		e.trial = false
 		b.updateCandidate(now, e.index, e)
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -10,6 +10,7 @@
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/scheduler"
+	"comfreyplank.org/core/throttler"
 )
 
 // Parameters of ejection.
@@ -60,6 +61,8 @@
 	// restarts.
 	addressReused bool
 	lastEvidence  time.Time
+	// statement is the latest statement of the endpoint about its limit.
+	statement throttler.Statement
 	// removed is set once the endpoint is no longer announced to the entry. It is deleted when
 	// nothing is in flight there.
 	removed bool
@@ -351,5 +354,6 @@
 	b.scheduleProbe(now)
 	if v.OK {
 		b.recordReport(now, e, v.Report, len(e.inFlight))
+		b.recordStatement(nil, e, v.Report.Limit)
 	}
 }
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -6,6 +6,7 @@
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 )
 
@@ -25,6 +26,8 @@
 	State registrar.State
 	// Slowdown is the ratio of current to usual latency at the endpoint; zero when unknown.
 	Slowdown float64
+	// Limit is what the response states about the endpoint's limit.
+	Limit throttler.Statement
 }
 
 // NoReport is the report of a response that does not state the load of the endpoint.
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -194,6 +194,7 @@
 func (b *Balancer) onSampled(now time.Time, v ProbeEnded) {
 	if e := b.endpointsByName[v.Endpoint]; e != nil && v.OK {
 		b.recordReport(now, e, v.Report, len(e.inFlight))
+		b.recordStatement(nil, e, v.Report.Limit)
 	}
 	c, ok := b.calls[v.Call]
 	if !ok || c.phase != phaseSampling {
--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -15,6 +15,7 @@
 	KindEndpointEjected      Kind = "endpoint-ejected"
 	KindEndpointReturned     Kind = "endpoint-returned"
 	KindEndpointStopped      Kind = "endpoint-stopped"
+	KindEndpointLimitChanged Kind = "endpoint-limit-changed"
 	KindStopComplete         Kind = "stop-complete"
 	KindConnectionsSuspected Kind = "connections-doubted"
 	KindAttemptSent          Kind = "attempt-sent"
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -9,6 +9,7 @@
 
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/retrier"
+	"comfreyplank.org/core/throttler"
 )
 
 // Counter counts calls, attempts and probes.
@@ -17,6 +18,7 @@
 	refused      *prometheus.CounterVec
 	probes       *prometheus.CounterVec
 	probeSeconds *prometheus.CounterVec
+	limits       *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
 }
 
@@ -35,12 +37,15 @@
 		probeSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_probe_seconds_total", Help: "Endpoint time spent on probes, by service.",
 		}, []string{"service"}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_limit_statements_total", Help: "Responses of endpoints that name a limit, by service and whether it can be read.",
+		}, []string{"service", "statement"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.calls)
 	return c
 }
 
@@ -60,6 +65,11 @@
 	c.probeSeconds.WithLabelValues(service).Add(took.Seconds())
 }
 
+// LimitStatement counts a response that names a limit.
+func (c *Counter) LimitStatement(service string, kind throttler.StatementKind) {
+	c.limits.WithLabelValues(service, kind.String()).Inc()
+}
+
 // Refused counts a call that got no response from an endpoint.
 func (c *Counter) Refused(service string, outcome balancer.Outcome) {
 	name := "not-run"
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -21,6 +21,7 @@
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 )
 
@@ -31,6 +32,8 @@
 func (noCounter) Probe(string, time.Duration)        {}
 func (noCounter) Refused(string, balancer.Outcome)   {}
 
+func (noCounter) LimitStatement(string, throttler.StatementKind) {}
+
 // fixture is a dispatcher with real connections to test endpoints, and a claims log in memory.
 type fixture struct {
 	*Dispatcher
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -9,6 +9,7 @@
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
 	"comfreyplank.org/entry/pacer"
@@ -58,6 +59,7 @@
 	Call(service, result string, took time.Duration)
 	Probe(service string, took time.Duration)
 	Refused(service string, outcome balancer.Outcome)
+	LimitStatement(service string, kind throttler.StatementKind)
 }
 
 // callResult is the result of a call: a response, a stored response or a refusal.
@@ -229,6 +231,7 @@
 func (s *serviceDispatcher) runAttempt(ctx context.Context, t *attempt, d balancer.Dispatch, request forwarder.Request) {
 	defer t.cancel()
 	response, ending := s.forwarder.Send(ctx, d, request)
+	s.countLimit(loadReport(response))
 	if ending != balancer.EndingComplete {
 		s.endAttempt(t, ending, loadReport(response))
 		return
@@ -265,6 +268,13 @@
 	s.step(balancer.AttemptEnded{Attempt: t.id, Ending: ending, Report: report})
 }
 
+// countLimit counts a response that names a limit.
+func (s *serviceDispatcher) countLimit(r balancer.Report) {
+	if r.Limit.Kind == throttler.StatementLimit || r.Limit.Kind == throttler.StatementInvalid {
+		s.deps.Counter.LimitStatement(s.service, r.Limit.Kind)
+	}
+}
+
 func loadReport(response *forwarder.Response) balancer.Report {
 	if response == nil {
 		return balancer.NoReport
@@ -291,6 +301,7 @@
 		defer cancel()
 		start := s.deps.Now()
 		report, ending := s.forwarder.Probe(ctx, v)
+		s.countLimit(report)
 		took := s.deps.Now().Sub(start)
 		s.deps.Counter.Probe(s.service, took)
 		s.handle(balancer.ProbeEnded{
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -11,6 +11,7 @@
 
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/shell/reporter"
 )
@@ -38,7 +39,7 @@
 	return Endpoints{
 		PrepareAttempt:   prepareNativeAttempt,
 		ClassifyResponse: classifyNativeResponse,
-		Report:           func(h http.Header) balancer.Report { return ParseLoad(h.Get(LoadHeader)) },
+		Report:           func(h http.Header) balancer.Report { return ParseLoad(strings.Join(h.Values(LoadHeader), ",")) },
 		ClassifyProbe:    classifyNativeProbe,
 	}
 }
@@ -106,10 +107,11 @@
 	return balancer.EndingComplete
 }
 
-// ParseLoad parses a load header such as "load=3, state=serving". Missing or invalid parts are
-// left unknown.
+// ParseLoad parses a load header such as "load=3, state=serving, limit=2.5". Missing or invalid
+// parts are left unknown.
 func ParseLoad(value string) balancer.Report {
 	report := balancer.NoReport
+	var limits []string
 	for part := range strings.SplitSeq(value, ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
 		switch name {
@@ -119,8 +121,11 @@
 			}
 		case "state":
 			report.State = parseState(text)
+		case "limit":
+			limits = append(limits, text)
 		}
 	}
+	report.Limit = throttler.ParseStatement(limits)
 	return report
 }
 
