--- /dev/null
+++ b/core/controller/limit_test.go
@@ -0,0 +1,195 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/throttler"
+)
+
+// The bound that these tests check: from contact after an endpoint first named its limit, it gets
+// in no limitWindow more than limitFactor times what that allows and limitSlack requests, from
+// entries that passed on such a response learnTime before or earlier. A restart, freeze or cut
+// excuses an entry for the time of contact.
+const (
+	contact     = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	learnTime   = 500 * time.Millisecond
+)
+
+// limitChange is a limit that a backend names from a time on; a rate of zero names none.
+type limitChange struct {
+	at   time.Time
+	rate float64
+}
+
+// arrival is an attempt that reached a backend.
+type arrival struct {
+	at   time.Time
+	from *simEntry
+	// learnedAt is when the entry first passed on a response of the backend that names a limit;
+	// zero if it has not.
+	learnedAt time.Time
+	excused   bool
+}
+
+func (b *backend) statement(now time.Time) throttler.Statement {
+	if rate := b.rate(now); rate > 0 {
+		return throttler.Statement{Kind: throttler.StatementLimit, Rate: rate}
+	}
+	return throttler.Statement{Kind: throttler.StatementNone}
+}
+
+// rate returns the limit that the backend names, or zero.
+func (b *backend) rate(now time.Time) float64 {
+	rate := 0.0
+	for _, c := range b.limits {
+		if !c.at.After(now) {
+			rate = c.rate
+		}
+	}
+	return rate
+}
+
+// loosest returns the highest limit in force within the window that ends at a time, and whether
+// a limit was in force throughout it and the time of contact before its end.
+func (b *backend) loosest(end time.Time) (float64, bool) {
+	highest := b.rate(end.Add(-limitWindow))
+	if b.rate(end.Add(-contact)) == 0 {
+		return 0, false
+	}
+	for _, c := range b.limits {
+		if c.at.After(end.Add(-limitWindow)) && !c.at.After(end) {
+			if c.rate == 0 {
+				return 0, false
+			}
+			highest = max(highest, c.rate)
+		}
+	}
+	return highest, true
+}
+
+// probe lets a backend reply to a probe one step later.
+func (s *simulation) probe(e *simEntry, p balancer.Probe) {
+	starts := e.starts
+	s.deliverLater(p.Endpoint, e.name, true, func() {
+		if e.up && e.starts == starts {
+			s.handleBalancer(e, balancer.ProbeEnded{Call: p.Call, Endpoint: p.Endpoint, OK: true, Elapsed: step, Report: balancer.Report{Load: 0}})
+		}
+	})
+}
+
+// checkLimit fails if a backend got more requests in some window than its limit allows.
+func (s *simulation) checkLimit(b *backend) {
+	start := 0
+	for end := range b.arrivals {
+		at := b.arrivals[end].at
+		for at.Sub(b.arrivals[start].at) >= limitWindow {
+			start++
+		}
+		rate, ok := b.loosest(at)
+		if !ok {
+			continue
+		}
+		counted := 0
+		for _, a := range b.arrivals[start : end+1] {
+			if !a.excused && !a.learnedAt.IsZero() && a.at.Sub(a.learnedAt) >= learnTime {
+				counted++
+			}
+		}
+		if allowed := limitFactor*limitWindow.Seconds()*rate + limitSlack; float64(counted) > allowed {
+			s.t.Fatalf("%s has named a limit of %v a second and got %d requests in %s until %s, allowed %.1f", b.name, rate, counted, limitWindow, at.Sub(b.limits[0].at), allowed)
+		}
+	}
+}
+
+// traffic sends calls to entries at a constant rate.
+type traffic struct {
+	perSecond float64
+	// pick returns the entry for a call.
+	pick func(s *simulation) *simEntry
+}
+
+func throughAll(s *simulation) *simEntry { return s.entries[s.rand.IntN(len(s.entries))] }
+
+func throughOne(s *simulation) *simEntry { return s.entries[0] }
+
+// moving lets all calls arrive at one entry, and at another one every two seconds.
+func moving(s *simulation) *simEntry {
+	return s.entries[int(s.now.Unix()/2)%len(s.entries)]
+}
+
+// runTraffic runs the simulation with calls that have a second to complete.
+func (s *simulation) runTraffic(d time.Duration, load traffic) {
+	pending := 0.0
+	for end := s.now.Add(d); s.now.Before(end); {
+		for pending += load.perSecond * step.Seconds(); pending >= 1; pending-- {
+			s.call(load.pick(s), "", time.Second)
+		}
+		s.step()
+	}
+}
+
+// startLimited returns a running system.
+func startLimited(t fatalReporter, entries, backends int, seed uint64, opts ...balancer.Option) *simulation {
+	s := newSimulation(t, 3, 0, seed)
+	s.balancerOptions = opts
+	for i := range entries {
+		e := &simEntry{name: fmt.Sprint("e", i)}
+		s.entries = append(s.entries, e)
+		s.startEntry(e)
+	}
+	for i := len(s.backends); i < backends; i++ {
+		s.addBackend(fmt.Sprint("b", i))
+	}
+	s.runFor(2 * time.Second)
+	s.apply(s.replicas[0], document(0, "first"))
+	s.runFor(2 * time.Second)
+	return s
+}
+
+// name lets the first backends name a limit from now on.
+func (s *simulation) name(rate float64, backends int) {
+	for _, b := range s.backends[:backends] {
+		b.limits = append(b.limits, limitChange{s.now, rate})
+	}
+}
+
+// sampling is how entries on the platform choose endpoints.
+var sampling = balancer.WithSampling(balancer.Sampling{Endpoints: 3, Timeout: 20 * time.Millisecond, ProbesPerSecond: 200})
+
+// TestNamedLimitHoldsForAllEntries guards against an endpoint in need that goes on to receive its
+// usual number of requests, or its limit from each entry, after it has named a limit for all of
+// them together.
+func TestNamedLimitHoldsForAllEntries(t *testing.T) {
+	tests := []struct {
+		name      string
+		entries   int
+		backends  int
+		perSecond float64
+		pick      func(s *simulation) *simEntry
+		opts      []balancer.Option
+	}{
+		{"17 entries", 17, 13, 112, throughAll, nil},
+		{"17 entries that sample", 17, 13, 112, throughAll, []balancer.Option{sampling}},
+		{"traffic through one entry", 17, 13, 112, throughOne, nil},
+		{"traffic that moves", 17, 13, 112, moving, nil},
+		{"traffic that moves, sampling", 17, 13, 112, moving, []balancer.Option{sampling}},
+		{"313 entries", 313, 24, 530, throughAll, []balancer.Option{sampling}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startLimited(t, tt.entries, tt.backends, 1, tt.opts...)
+			load := traffic{tt.perSecond, tt.pick}
+			s.runTraffic(3*time.Second, load)
+			s.name(2.6, 1)
+			s.runTraffic(12*time.Second, load)
+			s.checkLimit(s.backends[0])
+		})
+	}
+}
+
--- a/standin/main.go
+++ b/standin/main.go
@@ -28,6 +28,7 @@
 	Name        string   `long:"name" description:"name of the first endpoint, instead of the service and a number"`
 	Spread      float64  `long:"spread" default:"1" description:"part of the service time that varies"`
 	Queue       int      `long:"queue" default:"100" description:"requests that may wait at an endpoint"`
+	Limit       string   `long:"limit" description:"requests per second that each endpoint names as its limit for all entries together"`
 	Record      string   `long:"record" description:"file that gets the key of each run, also for a process that is killed"`
 	Entries     []string `long:"entry" description:"address of an entry that takes announcements; may be repeated"`
 }
@@ -74,6 +75,7 @@
 	b.ServiceMs = s.ServiceMs
 	b.Spread = s.Spread
 	b.QueueLimit = s.Queue
+	b.Limit = s.Limit
 	port := first.Port() + uint16(i)
 	name := fmt.Sprintf("%s-%d", s.Service, i+1)
 	if s.Name != "" && i == 0 {
--- a/standin/responder/behaviour.go
+++ b/standin/responder/behaviour.go
@@ -31,6 +31,9 @@
 	LoadDelayMs int `json:"load-delay-ms"`
 	// NoState omits the state from reports.
 	NoState bool `json:"no-state"`
+	// Limit is named in responses as the requests per second that the endpoint takes from all
+	// entries together; empty names none.
+	Limit string `json:"limit"`
 	// Draining makes the endpoint announce that it drains.
 	Draining bool `json:"draining"`
 }
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -252,6 +252,9 @@
 	if !b.NoState {
 		value += ", state=" + r.state()
 	}
+	if b.Limit != "" {
+		value += ", limit=" + b.Limit
+	}
 	w.Header().Set("Endpoint-Load-Metrics", value)
 }
 
