Keep an endpoint's limit across all entries with permits

Cause: nothing read the field, and nothing in the design could have kept it: a bound that holds for all entries together was kept nowhere; each entry knows its own requests only. Change: the leader of the control replicas issues permits for points in time that are the interval of the limit apart (core/permitter). An entry needs one for each attempt of any kind, and must use it within a second of that point, counted from the sending of its request, so that late replies can't add up. A limit is applied at once by the entry that sees it and reaches the others through control; a higher one, or none, counts only if the request that learned so was sent with the present one known. Calls that can get no permit in time are refused at once. Without a reply, an entry issues its part of half of the limit itself, at random times (core/throttler). Check: make lint; go test of core, shell, entry, control, platform, standin.

--- a/core/balancer/action.go
+++ b/core/balancer/action.go
@@ -5,6 +5,7 @@
 
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/recorder"
+	"comfreyplank.org/core/throttler"
 )
 
 // Action is an operation that the owner of a balancer must carry out.
@@ -95,6 +96,13 @@
 	Endpoint string
 }
 
+// RequestPermits tells control what this entry knows of an endpoint's limit, and asks for permits.
+type RequestPermits struct {
+	Endpoint    string
+	Incarnation uint64
+	Request     throttler.Request
+}
+
 // Record adds an event to the timeline.
 type Record struct {
 	Event recorder.Event
@@ -108,4 +116,5 @@
 func (ProposeCommand) action() {}
 func (Probe) action()          {}
 func (Retire) action()         {}
+func (RequestPermits) action() {}
 func (Record) action()         {}
--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -17,7 +17,7 @@
 	a.responded = true
 	latency := now.Sub(a.sentAt)
 	b.recordReport(now, a.endpoint, v.Report, len(a.endpoint.inFlight)-1)
-	b.recordStatement(a.call, a.endpoint, v.Report.Limit)
+	b.observeLimit(now, a, v.Report.Limit)
 	b.recordLatency(now, a.endpoint, v.Report, latency)
 	if !isFailure(v.Status) {
 		b.learnWorkTime(now, a, latency)
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/retrier"
 	"comfreyplank.org/core/router"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 )
 
@@ -76,6 +77,8 @@
 	Remote bool
 	// LastDirectReport is when the endpoint itself last reported to this entry that it serves.
 	LastDirectReport time.Time
+	// Limit is the endpoint's limit as control knows it.
+	Limit throttler.Limit
 }
 
 // Balancer is the state machine of one service in one entry. It is not safe for concurrent use.
@@ -129,6 +132,9 @@
 	// nextProbeAt is when a probe may be due; zero means never.
 	nextProbeAt time.Time
 	lastProbe   time.Time
+	// anyLimited is set if an endpoint may have a limit.
+	anyLimited  bool
+	limitCounts LimitCounts
 	// endpointsKnown is set once the service has endpoints. Those added later start cold.
 	endpointsKnown bool
 
@@ -210,6 +216,8 @@
 		b.scheduleProbe(now)
 	case ProbeEnded:
 		b.onProbeEnded(now, v)
+	case PermitsGranted:
+		b.onPermitsGranted(now, v)
 	case Tick:
 		b.tick(now)
 	}
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -130,6 +130,7 @@
 
 // startWithoutSampling sends the first attempt, queues the call, or refuses it.
 func (b *Balancer) startWithoutSampling(now time.Time, c *call) {
+	b.wantPicked(now, c)
 	if b.queue.Len() == 0 && b.attempt(now, c) {
 		return
 	}
@@ -137,6 +138,10 @@
 		b.refuse(now, c, ReasonNoEndpoint)
 		return
 	}
+	if !b.mayAwaitPermit(now, c, b.queue.Len()) {
+		b.refuse(now, c, ReasonLimit)
+		return
+	}
 	if !b.enqueue(now, c) {
 		b.refuse(now, c, ReasonQueueFull)
 	}
@@ -149,6 +154,7 @@
 		return false
 	}
 	c.phase = phaseQueued
+	b.awaitPermit(now, c)
 	return true
 }
 
@@ -163,7 +169,7 @@
 
 // dispatchQueued sends queued calls for as long as an endpoint has room.
 func (b *Balancer) dispatchQueued(now time.Time) {
-	for b.queue.Len() > 0 && b.picker.Pick(now, b.candidates, nil) != picker.None {
+	for b.queue.Len() > 0 && b.hasRoom(now) {
 		id, late, _ := b.queue.Pop(now)
 		c, ok := b.calls[CallID(id)]
 		switch {
@@ -209,7 +215,7 @@
 func (b *Balancer) pick(now time.Time, c *call, avoid []*endpoint) int {
 	return b.picker.Pick(now, b.candidates, func(i int) bool {
 		e := b.endpoints[i]
-		return c.hasTried(e) || slices.Contains(avoid, e) || (e.ejected() && c.Execution != router.Repeatable)
+		return c.hasTried(e) || slices.Contains(avoid, e) || (e.ejected() && c.Execution != router.Repeatable) || e.throttled(now)
 	})
 }
 
@@ -226,6 +232,7 @@
 	b.lastAttempt++
 	a := &attempt{id: b.lastAttempt, call: c, endpoint: e, sentAt: now}
 	b.attempts[a.id] = a
+	b.takePermit(now, e)
 	e.inFlight = append(e.inFlight, inFlightAttempt{a.id, now})
 	e.sent++
 	e.trial = e.ejected()
@@ -372,7 +379,10 @@
 
 // retryAfter returns a random delay, so that callers that are refused together don't retry
 // together. Zero leaves the delay to the protocol.
-func (b *Balancer) retryAfter(now time.Time, c *call) time.Duration {
+func (b *Balancer) retryAfter(now time.Time, c *call, reason Reason) time.Duration {
+	if reason == ReasonLimit {
+		return b.permitRetryAfter(now, c)
+	}
 	remaining := c.Deadline.Sub(now)
 	if !c.sampled || remaining <= 0 {
 		return 0
@@ -396,8 +406,11 @@
 	}
 	b.releaseClaim(c)
 	b.record(kind, c, nil, b.refusalDetail(now, c, reason))
+	if reason == ReasonLimit {
+		b.limitCounts.Refused++
+	}
 	if !c.disconnected {
-		b.emit(Refuse{Call: c.ID, Outcome: outcome, Reason: reason, RetryAfter: b.retryAfter(now, c)})
+		b.emit(Refuse{Call: c.ID, Outcome: outcome, Reason: reason, RetryAfter: b.retryAfter(now, c, reason)})
 	}
 	b.endCall(now, c)
 }
--- a/core/balancer/due.go
+++ b/core/balancer/due.go
@@ -39,6 +39,7 @@
 	if !b.nextAvailabilityChange.IsZero() && !now.Before(b.nextAvailabilityChange) {
 		b.updateCandidates(now)
 		b.dispatchQueued(now)
+		b.refuseUnpermitted(now)
 	}
 	if b.subsetChanged {
 		b.chooseSubset()
@@ -51,6 +52,9 @@
 	if e.ejected() && now.Before(e.ejectedUntil) {
 		at = e.ejectedUntil
 	}
+	if e.limited() {
+		at = scheduler.Earliest(at, e.throttle.ChangeAt(now))
+	}
 	if b.configLeaseOptional || e.removed {
 		return at
 	}
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -43,7 +43,7 @@
 	switch v.Ending {
 	case EndingRefused:
 		b.recordReport(now, e, v.Report, len(e.inFlight))
-		b.recordStatement(a.call, e, v.Report.Limit)
+		b.observeRefusal(now, a, v.Report.Limit)
 		e.limit.RecordRefusal(len(e.inFlight), b.limitOf(e))
 		e.trial = false
 		b.updateCandidate(now, e.index, e)
@@ -105,7 +105,7 @@
 	if !b.hasUntriedEndpoint(now, c) || !b.budget.Spend(now) {
 		return false
 	}
-	return b.attempt(now, c) || b.enqueue(now, c)
+	return b.attempt(now, c) || (b.mayAwaitPermit(now, c, b.queue.Len()) && b.enqueue(now, c))
 }
 
 // hasUntriedEndpoint reports whether an endpoint that the call has not tried accepts new
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -63,6 +63,11 @@
 	lastEvidence  time.Time
 	// statement is the latest statement of the endpoint about its limit.
 	statement throttler.Statement
+	// throttle holds the limit of the endpoint; nil if it has never named one.
+	throttle *throttler.Throttle
+	// probesNameLimit is set once the reply to a probe has named a limit, so that one without
+	// a limit means that there is none.
+	probesNameLimit bool
 	// removed is set once the endpoint is no longer announced to the entry. It is deleted when
 	// nothing is in flight there.
 	removed bool
@@ -158,7 +163,9 @@
 		e.verifiedAfter = now
 		e.failures = 0
 		e.ejectedUntil = time.Time{}
+		e.forgetLimit()
 	}
+	b.adoptLimit(now, e, next.Limit)
 }
 
 // add adds a new endpoint. Endpoints that were there before this entry count as warm.
@@ -172,6 +179,7 @@
 	b.endpointsByName[next.Endpoint] = e
 	b.ranksStale = true
 	b.candidates = append(b.candidates, picker.Candidate{WarmUpStart: warmFrom})
+	b.adoptLimit(now, e, next.Limit)
 }
 
 func (b *Balancer) recordStop(e *endpoint, next Endpoint) {
@@ -209,8 +217,10 @@
 // updateCandidates recomputes the candidates of all endpoints, and the subset.
 func (b *Balancer) updateCandidates(now time.Time) {
 	b.nextAvailabilityChange = time.Time{}
+	b.anyLimited = false
 	for i, e := range b.endpoints {
 		b.updateCandidate(now, i, e)
+		b.anyLimited = b.anyLimited || e.limited()
 	}
 	b.chooseSubset()
 }
@@ -354,6 +364,6 @@
 	b.scheduleProbe(now)
 	if v.OK {
 		b.recordReport(now, e, v.Report, len(e.inFlight))
-		b.recordStatement(nil, e, v.Report.Limit)
+		b.observeProbe(now, e, v)
 	}
 }
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -125,6 +125,15 @@
 	Report      Report
 }
 
+// PermitsGranted is the reply to RequestPermits.
+type PermitsGranted struct {
+	Endpoint    string
+	Incarnation uint64
+	// SentAt is when the request was sent.
+	SentAt time.Time
+	Grant  throttler.Grant
+}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -138,4 +147,5 @@
 func (ConfigLeaseChanged) input() {}
 func (ShareGranted) input()       {}
 func (ProbeEnded) input()         {}
+func (PermitsGranted) input()     {}
 func (Tick) input()               {}
--- a/core/balancer/reason.go
+++ b/core/balancer/reason.go
@@ -20,6 +20,7 @@
 	ReasonUnreachable       Reason = "no endpoint could be reached"
 	ReasonShed              Reason = "the endpoints refused the request"
 	ReasonOverload          Reason = "the endpoints have no room to answer in time"
+	ReasonLimit             Reason = "the limits of the endpoints leave no room in time"
 	ReasonMisdirected       Reason = "another endpoint has the address"
 	ReasonConnectionLost    Reason = "the endpoint's connection failed"
 	ReasonTimeout           Reason = "the endpoint did not answer in time"
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -87,15 +87,24 @@
 		return false
 	}
 	c.samples = c.samples[:0]
+	if e := b.permitHolder(now, c); e != nil {
+		c.samples = append(c.samples, sample{endpoint: e, sentBeforeProbe: e.sent})
+	}
+	var passedOver []*endpoint
 	for len(c.samples) < b.sampling.Endpoints {
-		i := b.pickForSampling(now, c)
+		i := b.pickForSampling(now, c, passedOver)
 		if i == picker.None {
 			break
 		}
 		e := b.endpoints[i]
+		if e.throttled(now) {
+			passedOver = append(passedOver, e)
+			continue
+		}
 		c.samples = append(c.samples, sample{endpoint: e, sentBeforeProbe: e.sent})
 	}
-	if len(c.samples) < 2 {
+	b.wantPassedOver(now, passedOver)
+	if len(c.samples) == 0 || len(c.samples)+len(passedOver) < 2 {
 		c.samples = nil
 		return false
 	}
@@ -118,7 +127,7 @@
 func (b *Balancer) sampleFromReports(now time.Time, c *call) bool {
 	c.samples = c.samples[:0]
 	for _, e := range b.endpoints {
-		if now.Sub(e.lastReportAt) <= reportTTL && !c.hasTried(e) {
+		if now.Sub(e.lastReportAt) <= reportTTL && !c.hasTried(e) && !e.throttled(now) {
 			c.samples = append(c.samples, sample{endpoint: e, sentBeforeProbe: e.sentAtLastReport, replied: true, ok: true, report: e.report})
 		}
 	}
@@ -153,7 +162,7 @@
 	lowest := maxEstimate
 	for _, e := range b.endpoints {
 		s := sample{endpoint: e, sentBeforeProbe: e.sentAtLastReport, report: e.report}
-		if now.Sub(e.lastReportAt) > reportTTL || c.hasTried(e) || c.wasUnresponsive(e) || e.ejected() || !b.accepts(now, e) || !b.isFree(now, &s) {
+		if now.Sub(e.lastReportAt) > reportTTL || c.hasTried(e) || c.wasUnresponsive(e) || e.ejected() || !b.accepts(now, e) || e.throttled(now) || !b.isFree(now, &s) {
 			continue
 		}
 		if estimate := b.estimate(now, &s); estimate < lowest {
@@ -172,13 +181,17 @@
 // sentSinceProbe returns how many requests this entry has sent to the endpoint since the probe.
 func (s *sample) sentSinceProbe() int { return s.endpoint.sent - s.sentBeforeProbe }
 
-func (b *Balancer) pickForSampling(now time.Time, c *call) int {
+func (b *Balancer) pickForSampling(now time.Time, c *call, passedOver []*endpoint) int {
 	return b.picker.Draw(b.candidates, c.sampled, func(i int) bool {
-		e := b.endpoints[i]
-		return c.hasTried(e) || c.hasSampled(e) || c.wasUnresponsive(e) || e.ejected() || b.picker.HasStraggler(now, &b.candidates[i])
+		return !b.maySample(now, c, b.endpoints[i]) || slices.Contains(passedOver, b.endpoints[i])
 	})
 }
 
+// maySample reports whether the call may probe the endpoint.
+func (b *Balancer) maySample(now time.Time, c *call, e *endpoint) bool {
+	return !c.hasTried(e) && !c.hasSampled(e) && !c.wasUnresponsive(e) && !e.ejected() && !b.picker.HasStraggler(now, &b.candidates[e.index])
+}
+
 func (c *call) wasUnresponsive(e *endpoint) bool { return slices.Contains(c.unresponsive, e) }
 
 func (c *call) hasSampled(e *endpoint) bool {
@@ -194,7 +207,7 @@
 func (b *Balancer) onSampled(now time.Time, v ProbeEnded) {
 	if e := b.endpointsByName[v.Endpoint]; e != nil && v.OK {
 		b.recordReport(now, e, v.Report, len(e.inFlight))
-		b.recordStatement(nil, e, v.Report.Limit)
+		b.observeProbe(now, e, v)
 	}
 	c, ok := b.calls[v.Call]
 	if !ok || c.phase != phaseSampling {
@@ -219,7 +232,7 @@
 	for i := range c.samples {
 		s := &c.samples[i]
 		all = all && (s.replied || s.endpoint.removed)
-		if s.ok && !s.endpoint.removed && picker.GoodEnough(b.estimate(now, s)) {
+		if s.ok && !s.endpoint.removed && !s.endpoint.throttled(now) && picker.GoodEnough(b.estimate(now, s)) {
 			return true
 		}
 	}
@@ -264,7 +277,9 @@
 // starts the call without sampling.
 func (b *Balancer) resample(now time.Time, c *call) {
 	for i := range c.samples {
-		c.unresponsive = append(c.unresponsive, c.samples[i].endpoint)
+		if s := &c.samples[i]; !s.ok || !s.endpoint.throttled(now) {
+			c.unresponsive = append(c.unresponsive, s.endpoint)
+		}
 	}
 	c.samples = nil
 	c.samplingRounds++
@@ -324,7 +339,7 @@
 	lowest := math.Inf(1)
 	for i := range c.samples {
 		s := &c.samples[i]
-		if !s.ok || s.endpoint.removed || !b.accepts(now, s.endpoint) || s.endpoint.ejected() {
+		if !s.ok || s.endpoint.removed || !b.accepts(now, s.endpoint) || s.endpoint.ejected() || s.endpoint.throttled(now) {
 			continue
 		}
 		if estimate := b.estimate(now, s); estimate < lowest {
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -13,6 +13,7 @@
 	timerDeadline
 	timerClaim
 	timerSampling
+	timerPermit
 )
 
 type timer struct {
@@ -83,6 +84,8 @@
 		return c.phase == phaseRunning
 	case timerClaim:
 		return c.phase == phaseClaimRetry
+	case timerPermit:
+		return c.phase == phaseQueued
 	case timerSampling:
 		return (c.phase == phaseSampling || c.phase == phaseHeld) && !t.at.Before(c.samplingDue)
 	}
@@ -106,6 +109,8 @@
 			b.sendClaim(c) // repeated: another attempt held the key, or there was no leader
 		case timerSampling:
 			b.onSamplingDue(now, c)
+		case timerPermit:
+			b.onPermitOverdue(now, c)
 		}
 	}
 }
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -12,6 +12,7 @@
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/committer"
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/permitter"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
@@ -114,6 +115,12 @@
 	nextShareRequest time.Time
 	nextPresence     time.Time
 	nextClockAdvance time.Time
+	permits          *permitter.Permitter
+	// changedLimits are the limits that the entries, and if this replica leads the other replicas,
+	// get at nextLimitUpdate at the earliest. At nextLimitRefresh a leader sends all limits.
+	changedLimits    []permitter.EndpointLimit
+	nextLimitUpdate  time.Time
+	nextLimitRefresh time.Time
 	// lastTick is the time of the last Tick.
 	lastTick time.Time
 	// nextStore is the earliest time at which the endpoints may be stored again. storedDigest is
@@ -190,6 +197,7 @@
 		replicaAllotters: make(map[string]*allotter.Allotter),
 		shares:           make(map[string]heldShare),
 		entryAllotters:   make(map[string]*allotter.Allotter),
+		permits:          permitter.New(),
 		lastClockAdvance: now,
 		nextPresence:     now,
 		nextShareRequest: now,
@@ -300,6 +308,8 @@
 	c.expireClaimWaiters(now)
 	c.advanceClaimsClock(now)
 	c.requestShares(now)
+	c.refreshLimits(now)
+	c.sendLimitsIfDue(now)
 	c.updateRevisionInEffect(now)
 	c.replyToApplies(now)
 	c.replyToDepartures(now)
--- a/core/controller/limit_test.go
+++ b/core/controller/limit_test.go
@@ -192,4 +192,3 @@
 		})
 	}
 }
-
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -20,6 +20,8 @@
 	// digestMismatches counts the presence messages in a row whose registry digest differed from
 	// that of this replica.
 	digestMismatches int
+	// entries is the number of entries that are connected to the replica.
+	entries int
 }
 
 // isSilent reports whether the replica may have stopped.
@@ -128,6 +130,12 @@
 		c.onShareRequest(now, v)
 	case messenger.ShareReply:
 		c.onShareReply(v)
+	case messenger.RelayedPermitRequest:
+		c.onRelayedPermitRequest(now, v)
+	case messenger.RelayedPermitReply:
+		c.onRelayedPermitReply(v)
+	case messenger.LimitUpdate:
+		c.onLimitUpdate(now, v)
 	}
 }
 
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -53,6 +53,8 @@
 		c.announce(now, v.Announcements)
 	case messenger.ClaimRequest:
 		c.onClaiming(now, conn, v)
+	case messenger.PermitRequest:
+		c.onPermitRequest(now, conn, e, v)
 	}
 }
 
@@ -131,6 +133,9 @@
 		c.entries[conn].sentRevision = held
 	}
 	c.emit(SendEntry{Conn: conn, Message: c.replicaAddresses()})
+	if limits := c.permits.Limits(); len(limits) > 0 {
+		c.emit(SendEntry{Conn: conn, Message: messenger.LimitUpdate{Full: true, Limits: limits}})
+	}
 }
 
 func (c *Controller) sendConfig(conn Conn) {
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -474,6 +474,8 @@
 		s.handleBalancer(e, v.Granted)
 	case subscriber.Decide:
 		s.handleBalancer(e, v.Decided)
+	case subscriber.GrantPermits:
+		s.handleBalancer(e, v.Granted)
 	}
 }
 
@@ -527,6 +529,8 @@
 			s.handleEntry(e, subscriber.Command{Service: serviceName, Call: v.Call, Command: v.Command})
 		case balancer.Probe:
 			s.probe(e, v)
+		case balancer.RequestPermits:
+			s.handleEntry(e, subscriber.PermitsWanted{Service: serviceName, Wanted: v})
 		case balancer.Refuse:
 			s.recordRefusal(e, v)
 		case balancer.Deliver, balancer.Replay:
--- a/core/controller/watching.go
+++ b/core/controller/watching.go
@@ -74,6 +74,7 @@
 	if !ok {
 		return
 	}
+	p.entries = v.Entries
 	if shares := c.allocateShares(now, v.From, v.Entries); len(shares) > 0 {
 		c.emit(SendPeer{Address: p.member.Address, Message: messenger.ShareReply{Sent: v.Sent, Run: v.Run, Shares: shares}})
 	}
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -7,8 +7,10 @@
 
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/permitter"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 )
 
@@ -64,7 +66,21 @@
 	Command claimer.Command
 }
 
+// PermitDemand is what an entry tells of an endpoint with a limit.
+type PermitDemand struct {
+	Name        registrar.Name
+	Incarnation uint64
+	Request     throttler.Request
+}
+
+// PermitRequest reports limits that endpoints have named, and requests permits.
+type PermitRequest struct {
+	Sequence uint64
+	Demands  []PermitDemand
+}
+
 func (Hello) toControl()                 {}
+func (PermitRequest) toControl()         {}
 func (Heartbeat) toControl()             {}
 func (EndpointAnnouncements) toControl() {}
 func (ClaimRequest) toControl()          {}
@@ -120,6 +136,29 @@
 // newer state.
 type Lagging struct{}
 
+// PermitGrant is the part of a PermitReply for one endpoint.
+type PermitGrant struct {
+	Name        registrar.Name
+	Incarnation uint64
+	Grant       throttler.Grant
+}
+
+// PermitReply is the reply to a PermitRequest.
+type PermitReply struct {
+	Sequence uint64
+	Grants   []PermitGrant
+}
+
+// LimitUpdate carries the limits of endpoints that have changed. A rate of zero means that the
+// endpoint names none any more.
+type LimitUpdate struct {
+	// Full is set if the update lists all limits.
+	Full   bool
+	Limits []permitter.EndpointLimit
+}
+
+func (PermitReply) toEntry()      {}
+func (LimitUpdate) toEntry()      {}
 func (ReplicaAddresses) toEntry() {}
 func (Lagging) toEntry()          {}
 func (Configuration) toEntry()    {}
@@ -206,8 +245,29 @@
 	Shares []ServiceShare
 }
 
-func (ReplicationMessage) toPeer() {}
-func (Presence) toPeer()           {}
-func (RegistryUpdate) toPeer()     {}
-func (ShareRequest) toPeer()       {}
-func (ShareReply) toPeer()         {}
+// RelayedPermitRequest passes the request of an entry on to the leader.
+type RelayedPermitRequest struct {
+	// From is the name of the sender, and Run identifies its process.
+	From string
+	Run  uint64
+	// Stream identifies the entry's stream to the sender. Entry is the entry's name.
+	Stream  uint64
+	Entry   string
+	Request PermitRequest
+}
+
+// RelayedPermitReply is the reply to a RelayedPermitRequest.
+type RelayedPermitReply struct {
+	Run    uint64
+	Stream uint64
+	Reply  PermitReply
+}
+
+func (RelayedPermitRequest) toPeer() {}
+func (RelayedPermitReply) toPeer()   {}
+func (LimitUpdate) toPeer()          {}
+func (ReplicationMessage) toPeer()   {}
+func (Presence) toPeer()             {}
+func (RegistryUpdate) toPeer()       {}
+func (ShareRequest) toPeer()         {}
+func (ShareReply) toPeer()           {}
--- a/core/subscriber/due.go
+++ b/core/subscriber/due.go
@@ -26,6 +26,7 @@
 	case s.connected:
 		silence := s.lastMessageAt.Add(messenger.StreamTimeout + 1)
 		due := scheduler.Earliest(silence, s.leaseWaitStart.Add(configLeaseTimeout+1), s.nextHeartbeat)
+		due = scheduler.Earliest(due, s.permitsDue())
 		if c := s.nextResend(); c != nil {
 			due = scheduler.Earliest(due, c.sentAt.Add(commandResendInterval))
 		}
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -195,5 +195,6 @@
 		Stopped:          s.document.Stopped(a.Service, a.Endpoint, now),
 		Remote:           a.DataCentre != s.hello.DataCentre,
 		LastDirectReport: s.directAt[a.Name],
+		Limit:            s.limitOf(a),
 	}
 }
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -58,6 +58,7 @@
 	s.connected = false
 	s.connecting = false
 	s.heartbeats = nil
+	s.permits.sent = nil
 }
 
 func (s *Subscriber) onClosed(now time.Time) {
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -12,6 +12,7 @@
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/permitter"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/validator"
@@ -72,6 +73,12 @@
 	Command claimer.Command
 }
 
+// PermitsWanted tells of an endpoint's limit and asks for permits.
+type PermitsWanted struct {
+	Service string
+	Wanted  balancer.RequestPermits
+}
+
 // SeedsChanged replaces the replica addresses that come from the settings.
 type SeedsChanged struct {
 	Addresses []string
@@ -87,6 +94,7 @@
 func (MessageReceived) input() {}
 func (Announced) input()       {}
 func (Command) input()         {}
+func (PermitsWanted) input()   {}
 func (SeedsChanged) input()    {}
 func (Tick) input()            {}
 
@@ -141,6 +149,12 @@
 	Decided balancer.ClaimDecided
 }
 
+// GrantPermits passes the reply to a request for permits to a service's balancer.
+type GrantPermits struct {
+	Service string
+	Granted balancer.PermitsGranted
+}
+
 // Record adds an event to the timeline.
 type Record struct {
 	Event recorder.Event
@@ -155,6 +169,7 @@
 func (RenewConfigLease) action() {}
 func (Grant) action()            {}
 func (Decide) action()           {}
+func (GrantPermits) action()     {}
 func (Record) action()           {}
 
 // pendingCommand is a command that waits for the reply of the claims log.
@@ -224,6 +239,10 @@
 	// again. It may contain commands that already have a reply.
 	resends []uint64
 
+	permits permits
+	// limits holds the limits of endpoints that control knows.
+	limits map[registrar.Name]permitter.EndpointLimit
+
 	actions []Action
 }
 
@@ -253,6 +272,8 @@
 		direct:   registrar.New(),
 		directAt: make(map[registrar.Name]time.Time),
 		commands: make(map[uint64]*pendingCommand),
+		permits:  permits{pending: make(map[registrar.Name]messenger.PermitDemand)},
+		limits:   make(map[registrar.Name]permitter.EndpointLimit),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -279,6 +300,8 @@
 		s.onAnnounced(now, v.Announcement)
 	case Command:
 		s.onCommand(now, v)
+	case PermitsWanted:
+		s.onPermitsWanted(now, v)
 	case SeedsChanged:
 		s.seeds = slices.Clone(v.Addresses)
 		s.mergeReplicas()
@@ -325,6 +348,7 @@
 		s.reconfigureAll(now)
 	}
 	s.resendCommands(now)
+	s.sendPermitRequestIfDue(now)
 	if expired := s.direct.Expire(now); len(expired) > 0 {
 		s.forgetExpired(now, expired)
 	}
@@ -360,6 +384,10 @@
 		s.onClaimed(v)
 	case messenger.ReplicaAddresses:
 		s.onReplicas(v.Addresses)
+	case messenger.PermitReply:
+		s.onPermitReply(v)
+	case messenger.LimitUpdate:
+		s.onLimits(now, v)
 	case messenger.Lagging:
 		s.onLagging(now)
 	}
--- /dev/null
+++ b/core/throttler/throttle.go
@@ -0,0 +1,297 @@
+package throttler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"comfreyplank.org/core/scheduler"
+)
+
+const (
+	// replyTimeout is how long an entry waits for the reply to a request before it issues
+	// permits itself.
+	replyTimeout = 500 * time.Millisecond
+	// ownShareDivisor is the part of the limit that entries without a reply use together, if all
+	// of them are without one. It leaves room for the permits that were issued before.
+	ownShareDivisor = 2
+)
+
+// permit allows one request at a time from from to until.
+type permit struct {
+	from, until time.Time
+}
+
+// Throttle holds the limit of one endpoint at one entry, and the permits that the entry may use.
+// It is not safe for concurrent use.
+type Throttle struct {
+	rand *rand.Rand
+	// entries is how many entries share the limit; at least 1.
+	entries int
+	limit   Limit
+	// learnedAt is when the rate was last changed. A response to a request that was sent before
+	// may be older than the rate.
+	learnedAt time.Time
+	// observed is set while the rate comes from a response to this entry and control may not
+	// know it. unreported is set until it is part of a request.
+	observed, unreported bool
+
+	// permits is ordered by from.
+	permits []permit
+	// wanted counts the requests that lacked a permit since the last request for permits.
+	wanted int
+	// requestedAt is when the request without a reply was made, and requested how many permits
+	// it asked for; both are zero without one.
+	requestedAt time.Time
+	requested   int
+	nextRequest time.Time
+	// unanswered is set from the time when a reply is overdue until the next one arrives.
+	unanswered bool
+	// nextOwn is the time of the next permit that this entry issues itself.
+	nextOwn time.Time
+}
+
+// New returns the throttle of an endpoint that has named no limit. The random source spreads the
+// requests of the entries.
+func New(source *rand.Rand, entries int) *Throttle {
+	return &Throttle{rand: source, entries: max(1, entries)}
+}
+
+// Limit returns the limit that the entry applies.
+func (t *Throttle) Limit() Limit { return t.limit }
+
+// Limited reports whether requests need a permit.
+func (t *Throttle) Limited() bool { return t.limit.Rate > 0 }
+
+// Observe applies what a response to a request of this entry states. It reports whether the limit
+// has changed. A lower limit applies at once; a higher one, or none, only if the request was sent
+// after the present limit was learned, since responses may arrive out of order.
+func (t *Throttle) Observe(now, sentAt time.Time, s Statement) bool {
+	if s.Kind != StatementLimit && s.Kind != StatementNone {
+		return false
+	}
+	if s.Rate == t.limit.Rate || (!Restricts(s.Rate, t.limit.Rate) && sentAt.Before(t.learnedAt)) {
+		return false
+	}
+	t.setRate(now, s.Rate)
+	t.observed = true
+	t.unreported = true
+	return true
+}
+
+// Adopt applies the limit that control knows, if it is newer, and reports whether the rate has
+// changed. A lower limit that a response has named meanwhile is kept.
+func (t *Throttle) Adopt(now time.Time, l Limit) bool {
+	if l.Version <= t.limit.Version {
+		return false
+	}
+	t.limit.Version = l.Version
+	if t.observed && Restricts(t.limit.Rate, l.Rate) {
+		t.unreported = true
+		return false
+	}
+	t.observed = false
+	t.unreported = false
+	if l.Rate == t.limit.Rate {
+		return false
+	}
+	t.setRate(now, l.Rate)
+	return true
+}
+
+func (t *Throttle) setRate(now time.Time, rate float64) {
+	t.limit.Rate = rate
+	t.learnedAt = now
+	t.nextRequest = time.Time{}
+	if rate == 0 {
+		t.permits = nil
+		t.wanted = 0
+		t.endRequest()
+		t.unanswered = false
+	}
+}
+
+func (t *Throttle) endRequest() {
+	t.requestedAt = time.Time{}
+	t.requested = 0
+}
+
+// Available reports whether a request may be sent now.
+func (t *Throttle) Available(now time.Time) bool {
+	if !t.Limited() {
+		return true
+	}
+	t.refresh(now)
+	return len(t.permits) > 0 && !now.Before(t.permits[0].from)
+}
+
+// Take uses a permit and reports whether there was one.
+func (t *Throttle) Take(now time.Time) bool {
+	if !t.Available(now) {
+		return false
+	}
+	if t.Limited() {
+		t.permits = slices.Delete(t.permits, 0, 1)
+	}
+	return true
+}
+
+// Want counts a request that would be sent to the endpoint if there were a permit.
+func (t *Throttle) Want() { t.wanted++ }
+
+// Request returns what is to be sent to control now, and whether there is anything.
+func (t *Throttle) Request(now time.Time) (Request, bool) {
+	t.refresh(now)
+	permits := t.missing(now)
+	if permits == 0 && !t.unreported {
+		return Request{}, false
+	}
+	if permits > 0 {
+		t.requestedAt = now
+		t.requested = permits
+		t.wanted = 0
+	}
+	t.unreported = false
+	return Request{Limit: t.limit, Observed: t.observed, Permits: permits}, true
+}
+
+// missing returns how many permits to request now.
+func (t *Throttle) missing(now time.Time) int {
+	if !t.Limited() || t.awaitsReply() || now.Before(t.nextRequest) {
+		return 0
+	}
+	most := max(1, int(t.limit.Rate*PermitLife.Seconds()))
+	return max(0, min(t.wanted-len(t.permits), most))
+}
+
+func (t *Throttle) awaitsReply() bool { return !t.requestedAt.IsZero() }
+
+// MayRequest reports whether a permit that is wanted now would be requested at once.
+func (t *Throttle) MayRequest(now time.Time) bool {
+	t.refresh(now)
+	return t.Limited() && !t.awaitsReply() && !now.Before(t.nextRequest)
+}
+
+// Grant applies the reply to a request that was sent at the given time.
+func (t *Throttle) Grant(now, sentAt time.Time, g Grant) {
+	t.endRequest()
+	t.unanswered = false
+	if g.Entries > 0 {
+		t.entries = g.Entries
+	}
+	t.Adopt(now, g.Limit)
+	if !t.Limited() {
+		return
+	}
+	for i := range g.Permits {
+		delay := max(0, g.Delay+time.Duration(i)*g.Interval)
+		t.add(permit{from: now.Add(delay), until: sentAt.Add(delay + PermitLife)})
+	}
+	t.nextRequest = now.Add(g.RetryAfter)
+	if g.RetryAfter > 0 {
+		t.nextRequest = t.nextRequest.Add(time.Duration(t.rand.Int64N(int64(g.RetryAfter))))
+	}
+}
+
+func (t *Throttle) add(p permit) {
+	i, _ := slices.BinarySearchFunc(t.permits, p, func(a, b permit) int { return a.from.Compare(b.from) })
+	t.permits = slices.Insert(t.permits, i, p)
+}
+
+// refresh removes expired permits, and issues own ones while a reply is overdue.
+func (t *Throttle) refresh(now time.Time) {
+	t.permits = slices.DeleteFunc(t.permits, func(p permit) bool { return !now.Before(p.until) })
+	if t.awaitsReply() && now.Sub(t.requestedAt) >= replyTimeout {
+		t.endRequest()
+		t.unanswered = true
+	}
+	if t.unanswered {
+		t.issueOwn(now)
+	}
+}
+
+// ownInterval is the time between two permits that this entry issues itself.
+func (t *Throttle) ownInterval() time.Duration {
+	return time.Duration(float64(time.Second) * ownShareDivisor * float64(t.entries) / t.limit.Rate)
+}
+
+// issueOwn issues the permits that are due. The first one comes after a random part of the
+// interval, as other entries may have lost control at the same time.
+func (t *Throttle) issueOwn(now time.Time) {
+	interval := t.ownInterval()
+	if t.nextOwn.IsZero() || now.Sub(t.nextOwn) > interval+PermitLife {
+		t.nextOwn = now.Add(time.Duration(t.rand.Int64N(int64(interval))))
+	}
+	for !now.Before(t.nextOwn) {
+		if until := t.nextOwn.Add(PermitLife); now.Before(until) {
+			t.add(permit{t.nextOwn, until})
+		}
+		t.nextOwn = t.nextOwn.Add(interval)
+	}
+}
+
+// AvailableBy returns how many permits can be used until a time, as far as is known now.
+func (t *Throttle) AvailableBy(now, until time.Time) int {
+	t.refresh(now)
+	n := 0
+	for _, p := range t.permits {
+		if !p.from.After(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// ExpectsReply reports whether the reply to a request for permits, sent before or now, will soon
+// tell when the next permit can be used.
+func (t *Throttle) ExpectsReply(now time.Time) bool {
+	t.refresh(now)
+	return !t.unanswered && (t.awaitsReply() || !now.Before(t.nextRequest))
+}
+
+// Expected returns how many permits this entry holds or has asked for.
+func (t *Throttle) Expected(now time.Time) int {
+	t.refresh(now)
+	return len(t.permits) + t.requested + t.wanted
+}
+
+// NextPermit returns when the next permit can be used or requested.
+func (t *Throttle) NextPermit(now time.Time) time.Time {
+	t.refresh(now)
+	next := t.nextRequest
+	if t.unanswered {
+		next = t.nextOwn
+	}
+	if len(t.permits) > 0 && t.permits[0].from.Before(next) {
+		next = t.permits[0].from
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+// ChangeAt returns when time alone changes what the throttle allows; zero means never.
+func (t *Throttle) ChangeAt(now time.Time) time.Time {
+	if !t.Limited() {
+		return time.Time{}
+	}
+	t.refresh(now)
+	var at time.Time
+	for _, p := range t.permits {
+		at = scheduler.Earliest(at, p.until)
+		if p.from.After(now) {
+			at = scheduler.Earliest(at, p.from)
+		}
+	}
+	if t.awaitsReply() {
+		at = scheduler.Earliest(at, t.requestedAt.Add(replyTimeout))
+	}
+	if t.unanswered {
+		at = scheduler.Earliest(at, t.nextOwn)
+	}
+	if t.nextRequest.After(now) {
+		at = scheduler.Earliest(at, t.nextRequest)
+	}
+	return at
+}
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -19,6 +19,8 @@
 	probes       *prometheus.CounterVec
 	probeSeconds *prometheus.CounterVec
 	limits       *prometheus.CounterVec
+	permits      *prometheus.CounterVec
+	limitedCalls *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
 }
 
@@ -40,12 +42,18 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_limit_statements_total", Help: "Responses of endpoints that name a limit, by service and whether it can be read.",
 		}, []string{"service", "statement"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_permits_total", Help: "Permits for endpoints with a limit, by service and whether they were granted by control or used.",
+		}, []string{"service", "event"}),
+		limitedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_limited_calls_total", Help: "Calls that lacked a permit, by service and whether they passed an endpoint over, waited, or were refused.",
+		}, []string{"service", "result"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.permits, c.limitedCalls, c.calls)
 	return c
 }
 
@@ -70,6 +78,15 @@
 	c.limits.WithLabelValues(service, kind.String()).Inc()
 }
 
+// LimitCounts adds what the limits of endpoints have caused.
+func (c *Counter) LimitCounts(service string, added balancer.LimitCounts) {
+	c.permits.WithLabelValues(service, "granted").Add(float64(added.Granted))
+	c.permits.WithLabelValues(service, "used").Add(float64(added.Sent))
+	c.limitedCalls.WithLabelValues(service, "passed-over").Add(float64(added.PassedOver))
+	c.limitedCalls.WithLabelValues(service, "queued").Add(float64(added.Queued))
+	c.limitedCalls.WithLabelValues(service, "refused").Add(float64(added.Refused))
+}
+
 // Refused counts a call that got no response from an endpoint.
 func (c *Counter) Refused(service string, outcome balancer.Outcome) {
 	name := "not-run"
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -34,6 +34,8 @@
 
 func (noCounter) LimitStatement(string, throttler.StatementKind) {}
 
+func (noCounter) LimitCounts(string, balancer.LimitCounts) {}
+
 // fixture is a dispatcher with real connections to test endpoints, and a claims log in memory.
 type fixture struct {
 	*Dispatcher
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -26,6 +26,8 @@
 	Publish func(recorder.Event)
 	// Claim sends a command to the claims log.
 	Claim func(service string, call balancer.CallID, command claimer.Command)
+	// RequestPermits tells control of an endpoint's limit and asks for permits.
+	RequestPermits func(service string, wanted balancer.RequestPermits)
 	// Counter records the metrics of all services.
 	Counter Metrics
 	// Callers and Endpoints are the protocols; if unset, the product's own are used.
@@ -47,6 +49,9 @@
 	if d.Endpoints.ClassifyResponse == nil {
 		d.Endpoints = translator.NativeEndpoints()
 	}
+	if d.RequestPermits == nil {
+		d.RequestPermits = func(string, balancer.RequestPermits) {}
+	}
 	if d.BalancerOptions == nil {
 		d.BalancerOptions = func() []balancer.Option { return nil }
 	}
@@ -60,6 +65,7 @@
 	Probe(service string, took time.Duration)
 	Refused(service string, outcome balancer.Outcome)
 	LimitStatement(service string, kind throttler.StatementKind)
+	LimitCounts(service string, added balancer.LimitCounts)
 }
 
 // callResult is the result of a call: a response, a stored response or a refusal.
@@ -104,6 +110,8 @@
 	addresses map[string]string
 	// waker calls the balancer when it is due.
 	waker *waker.Waker
+	// limitCounts are the counts of the balancer that the metrics include.
+	limitCounts balancer.LimitCounts
 }
 
 func newServiceDispatcher(incarnation string, service validator.Service, deps Dependencies) *serviceDispatcher {
@@ -140,6 +148,16 @@
 func (s *serviceDispatcher) step(in balancer.Input) {
 	s.execute(s.stateMachine.Handle(s.deps.Now(), in))
 	s.waker.Set(s.stateMachine.Due())
+	s.countLimits()
+}
+
+// countLimits adds what the balancer has counted since the last time to the metrics.
+func (s *serviceDispatcher) countLimits() {
+	counts := s.stateMachine.LimitCounts()
+	if counts != s.limitCounts {
+		s.deps.Counter.LimitCounts(s.service, counts.Minus(s.limitCounts))
+		s.limitCounts = counts
+	}
 }
 
 // handle passes an input to the balancer under the lock.
@@ -180,6 +198,8 @@
 			s.claim(v)
 		case balancer.Probe:
 			s.probe(v)
+		case balancer.RequestPermits:
+			s.requestPermits(v)
 		case balancer.Retire:
 			s.forwarder.Retire(s.addresses[v.Endpoint])
 			delete(s.addresses, v.Endpoint)
@@ -213,6 +233,11 @@
 	s.deps.Start(func() { s.deps.Claim(s.service, v.Call, v.Command) })
 }
 
+// requestPermits runs in another goroutine, as claim does.
+func (s *serviceDispatcher) requestPermits(v balancer.RequestPermits) {
+	s.deps.Start(func() { s.deps.RequestPermits(s.service, v) })
+}
+
 func (s *serviceDispatcher) dispatch(d balancer.Dispatch) {
 	pending, ok := s.calls[d.Call]
 	if !ok {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -133,6 +133,11 @@
 	f.handle(subscriber.Command{Service: service, Call: call, Command: command})
 }
 
+// RequestPermits tells control of an endpoint's limit and asks for permits.
+func (f *Follower) RequestPermits(service string, wanted balancer.RequestPermits) {
+	f.handle(subscriber.PermitsWanted{Service: service, Wanted: wanted})
+}
+
 // Ready reports whether the entry has a configuration and, unless that is optional, holds its
 // configuration lease.
 func (f *Follower) Ready() bool {
@@ -210,6 +215,8 @@
 			f.dispatcher.Handle(v.Service, v.Granted)
 		case subscriber.Decide:
 			f.dispatcher.Handle(v.Service, v.Decided)
+		case subscriber.GrantPermits:
+			f.dispatcher.Handle(v.Service, v.Granted)
 		case subscriber.Record:
 			f.publish(v.Event)
 		}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -139,6 +139,9 @@
 		Start:   r.group.Go,
 		Publish: r.publish,
 		Claim:   r.claim,
+		RequestPermits: func(service string, wanted balancer.RequestPermits) {
+			r.follower.RequestPermits(service, wanted)
+		},
 		Counter: counter.New(prometheus.DefaultRegisterer),
 	}
 	r.configure(&deps)
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -10,9 +10,11 @@
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/permitter"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/shell/encoder/wire"
 )
@@ -23,7 +25,14 @@
 		Name: name, Address: "127.0.0.1:1", DataCentre: "dc", Slots: 2, Connections: 3, State: registrar.StateDraining,
 		Incarnation: 4, Sequence: 5, Load: 6, Deregistered: true, WarmUp: time.Second,
 	}
-	share   = messenger.ServiceShare{Service: "s", Share: allotter.Share{ProbeMicros: 1, ProbeBytes: 2}, Life: time.Second}
+	share         = messenger.ServiceShare{Service: "s", Share: allotter.Share{ProbeMicros: 1, ProbeBytes: 2}, Life: time.Second}
+	limit         = permitter.EndpointLimit{Name: name, Incarnation: 4, Limit: throttler.Limit{Rate: 2.5, Version: 6}}
+	permitRequest = messenger.PermitRequest{Sequence: 1, Demands: []messenger.PermitDemand{
+		{Name: name, Incarnation: 4, Request: throttler.Request{Limit: limit.Limit, Observed: true, Permits: 3}},
+	}}
+	permitReply = messenger.PermitReply{Sequence: 1, Grants: []messenger.PermitGrant{{Name: name, Incarnation: 4, Grant: throttler.Grant{
+		Limit: limit.Limit, Entries: 17, Permits: 2, Delay: -time.Second, Interval: time.Millisecond, RetryAfter: time.Minute,
+	}}}}
 	member  = replicator.Member{ID: "i", Name: "n", Address: "a", Voter: true}
 	entries = []replicator.Entry{{Index: 1, Term: 2, Kind: replicator.EntryMembership, Data: []byte("d")}}
 )
@@ -42,6 +51,7 @@
 		messenger.Heartbeat{Sequence: 1, Revision: 2, Leaving: []messenger.Leaving{{Name: name, InFlight: 3}}},
 		messenger.EndpointAnnouncements{Announcements: []registrar.Announcement{announcement}},
 		messenger.ClaimRequest{Request: 1, Command: claimer.Claim{Key: claimer.Key{Service: "s", Value: "k"}, Attempt: "a", Fingerprint: "f"}},
+		permitRequest,
 	} {
 		encoded, err := EncodeToControl(m)
 		assert.NilError(t, err)
@@ -63,6 +73,8 @@
 		messenger.HeartbeatReply{Sequence: 1, ConfigLease: true, Shares: []messenger.ServiceShare{share}},
 		messenger.EndpointUpdate{Full: true, Changed: []registrar.Announcement{announcement}, Removed: []registrar.Name{name}},
 		messenger.ClaimReply{Request: 1, NotProposed: true, Result: claimer.Result{Verdict: claimer.VerdictDone, Response: claimer.Response{Status: 201, Stored: true, Body: []byte("b")}}},
+		permitReply,
+		messenger.LimitUpdate{Full: true, Limits: []permitter.EndpointLimit{limit}},
 	} {
 		encoded, err := EncodeToEntry(m)
 		assert.NilError(t, err)
@@ -78,6 +90,9 @@
 
 func TestMessagesToPeersRoundTrip(t *testing.T) {
 	messages := []messenger.ToPeer{
+		messenger.RelayedPermitRequest{From: "n", Run: 1, Stream: 2, Entry: "e", Request: permitRequest},
+		messenger.RelayedPermitReply{Run: 1, Stream: 2, Reply: permitReply},
+		messenger.LimitUpdate{Full: true, Limits: []permitter.EndpointLimit{limit}},
 		messenger.Presence{Member: member, Run: 1, Bootstrapped: true, RevisionInEffect: 2, RegistryDigest: 3, Relayed: true},
 		messenger.RegistryUpdate{Announcements: []registrar.Announcement{announcement}, Renewals: []messenger.Renewal{{Name: name, Incarnation: 1, Sequence: 2, Load: 3}}},
 		messenger.ShareRequest{Sent: 1, From: "f", Run: 2, Entries: 3},
--- a/shell/encoder/entry.go
+++ b/shell/encoder/entry.go
@@ -30,6 +30,8 @@
 		}
 		request := &wire.Claiming{Request: v.Request, Command: command}
 		return &wire.FromEntry{Message: &wire.FromEntry_Claiming{Claiming: request}}, nil
+	case messenger.PermitRequest:
+		return &wire.FromEntry{Message: &wire.FromEntry_PermitRequest{PermitRequest: encodePermitRequest(v)}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -59,6 +61,8 @@
 			return nil, err
 		}
 		return messenger.ClaimRequest{Request: v.Claiming.GetRequest(), Command: command}, nil
+	case *wire.FromEntry_PermitRequest:
+		return decodePermitRequest(v.PermitRequest), nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -91,6 +95,10 @@
 		return &wire.FromControl{Message: &wire.FromControl_Replicas{Replicas: replicas}}, nil
 	case messenger.Lagging:
 		return &wire.FromControl{Message: &wire.FromControl_Lagging{Lagging: &wire.Lagging{}}}, nil
+	case messenger.PermitReply:
+		return &wire.FromControl{Message: &wire.FromControl_PermitReply{PermitReply: encodePermitReply(v)}}, nil
+	case messenger.LimitUpdate:
+		return &wire.FromControl{Message: &wire.FromControl_LimitUpdate{LimitUpdate: encodeLimitUpdate(v)}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -120,6 +128,10 @@
 		return messenger.ReplicaAddresses{Addresses: v.Replicas.GetAddresses()}, nil
 	case *wire.FromControl_Lagging:
 		return messenger.Lagging{}, nil
+	case *wire.FromControl_PermitReply:
+		return decodePermitReply(v.PermitReply), nil
+	case *wire.FromControl_LimitUpdate:
+		return decodeLimitUpdate(v.LimitUpdate), nil
 	}
 	return nil, ErrUnknownMessage
 }
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -29,6 +29,14 @@
 	case messenger.ShareReply:
 		reply := &wire.ShareReply{Sent: int64(v.Sent), Run: v.Run, Shares: convertAll(v.Shares, encodeShare)}
 		return &wire.FromPeer{Message: &wire.FromPeer_ShareReply{ShareReply: reply}}, nil
+	case messenger.RelayedPermitRequest:
+		request := &wire.RelayedPermitRequest{From: v.From, Run: v.Run, Stream: v.Stream, Entry: v.Entry, Request: encodePermitRequest(v.Request)}
+		return &wire.FromPeer{Message: &wire.FromPeer_RelayedPermitRequest{RelayedPermitRequest: request}}, nil
+	case messenger.RelayedPermitReply:
+		reply := &wire.RelayedPermitReply{Run: v.Run, Stream: v.Stream, Reply: encodePermitReply(v.Reply)}
+		return &wire.FromPeer{Message: &wire.FromPeer_RelayedPermitReply{RelayedPermitReply: reply}}, nil
+	case messenger.LimitUpdate:
+		return &wire.FromPeer{Message: &wire.FromPeer_LimitUpdate{LimitUpdate: encodeLimitUpdate(v)}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -50,6 +58,14 @@
 	case *wire.FromPeer_ShareReply:
 		r := v.ShareReply
 		return messenger.ShareReply{Sent: time.Duration(r.GetSent()), Run: r.GetRun(), Shares: convertAll(r.GetShares(), decodeShare)}, nil
+	case *wire.FromPeer_RelayedPermitRequest:
+		r := v.RelayedPermitRequest
+		return messenger.RelayedPermitRequest{From: r.GetFrom(), Run: r.GetRun(), Stream: r.GetStream(), Entry: r.GetEntry(), Request: decodePermitRequest(r.GetRequest())}, nil
+	case *wire.FromPeer_RelayedPermitReply:
+		r := v.RelayedPermitReply
+		return messenger.RelayedPermitReply{Run: r.GetRun(), Stream: r.GetStream(), Reply: decodePermitReply(r.GetReply())}, nil
+	case *wire.FromPeer_LimitUpdate:
+		return decodeLimitUpdate(v.LimitUpdate), nil
 	}
 	return nil, ErrUnknownMessage
 }
