Ask for permits again when a denial ends, and issue them 200 ms ahead

Callers saw: calls that waited for a permit until their deadline after a denial, and permits that entries with few calls held for a second without using them. Cause: a call that lacked a permit while no request was allowed counted as requested for good; nothing asked again when the time of a denial had passed. Permits were issued up to a second ahead, which no call waits for; the queue's estimate of the wait counted the time until a permit as its turn. Also: a lower limit drops the permits of the higher one.

--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -138,23 +138,21 @@
 		b.refuse(now, c, ReasonNoEndpoint)
 		return
 	}
-	if !b.mayAwaitPermit(now, c, b.queue.Len()) {
-		b.refuse(now, c, ReasonLimit)
-		return
-	}
 	if !b.enqueue(now, c) {
-		b.refuse(now, c, ReasonQueueFull)
+		b.refuse(now, c, b.reasonNotQueued(now, c))
 	}
 }
 
 // enqueue queues the call if the queue has room and the wait is expected to end before the
 // deadline. It reports whether it did.
 func (b *Balancer) enqueue(now time.Time, c *call) bool {
+	if b.awaitsPermit(now, c) {
+		return b.enqueueForPermit(now, c)
+	}
 	if !b.queue.Push(now, uint64(c.ID), c.Class, c.Deadline, b.picker.TypicalLatency()) {
 		return false
 	}
 	c.phase = phaseQueued
-	b.awaitPermit(now, c)
 	return true
 }
 
--- a/core/balancer/due.go
+++ b/core/balancer/due.go
@@ -39,6 +39,7 @@
 	if !b.nextAvailabilityChange.IsZero() && !now.Before(b.nextAvailabilityChange) {
 		b.updateCandidates(now)
 		b.dispatchQueued(now)
+		b.wantForQueue(now)
 		b.refuseUnpermitted(now)
 	}
 	if b.subsetChanged {
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -105,7 +105,7 @@
 	if !b.hasUntriedEndpoint(now, c) || !b.budget.Spend(now) {
 		return false
 	}
-	return b.attempt(now, c) || (b.mayAwaitPermit(now, c, b.queue.Len()) && b.enqueue(now, c))
+	return b.attempt(now, c) || b.enqueue(now, c)
 }
 
 // hasUntriedEndpoint reports whether an endpoint that the call has not tried accepts new
--- a/core/balancer/limit.go
+++ b/core/balancer/limit.go
@@ -260,15 +260,25 @@
 	return latest
 }
 
-// awaitPermit prepares a queued call that lacks only a permit: it requests permits, and bounds the
-// wait.
-func (b *Balancer) awaitPermit(now time.Time, c *call) {
-	if !b.awaitsPermit(now, c) {
-		return
+// enqueueForPermit queues a call that lacks only a permit if it can expect one in time. It reports
+// whether it did.
+func (b *Balancer) enqueueForPermit(now time.Time, c *call) bool {
+	if !b.mayAwaitPermit(now, c, b.queue.Len()) || !b.queue.PushReserved(now, uint64(c.ID), c.Class, c.Deadline) {
+		return false
 	}
+	c.phase = phaseQueued
 	b.limitCounts.Queued++
 	b.schedule(b.latestSending(c), c.ID, timerPermit)
 	b.wantForQueue(now)
+	return true
+}
+
+// reasonNotQueued returns why a call was not queued.
+func (b *Balancer) reasonNotQueued(now time.Time, c *call) Reason {
+	if b.awaitsPermit(now, c) {
+		return ReasonLimit
+	}
+	return ReasonQueueFull
 }
 
 // wantForQueue requests permits for the queued calls that exceed what this entry holds or has
@@ -295,7 +305,7 @@
 	for i := range missing {
 		requestable[i%len(requestable)].throttle.Want()
 	}
-	for _, e := range requestable {
+	for _, e := range requestable[:min(missing, len(requestable))] {
 		b.requestPermits(now, e)
 	}
 }
--- a/core/controller/limit_test.go
+++ b/core/controller/limit_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/throttler"
 )
@@ -37,6 +39,16 @@
 	excused   bool
 }
 
+// isExcused reports whether an entry was started, frozen or cut off within the time of contact.
+func (s *simulation) isExcused(e *simEntry) bool {
+	for link, cut := range s.cutLinks {
+		if cut && (link[0] == e.name || link[1] == e.name) {
+			return true
+		}
+	}
+	return s.now.Sub(e.disruptedAt) < contact
+}
+
 func (b *backend) statement(now time.Time) throttler.Statement {
 	if rate := b.rate(now); rate > 0 {
 		return throttler.Statement{Kind: throttler.StatementLimit, Rate: rate}
@@ -147,7 +159,9 @@
 		s.addBackend(fmt.Sprint("b", i))
 	}
 	s.runFor(2 * time.Second)
-	s.apply(s.replicas[0], document(0, "first"))
+	doc := document(0, "first")
+	doc.Services[0].QueueLimit = 64
+	s.apply(s.replicas[0], doc)
 	s.runFor(2 * time.Second)
 	return s
 }
@@ -192,3 +206,47 @@
 		})
 	}
 }
+
+// TestLimitsTakeNoMoreThanTheyMust guards against calls that are refused, or wait, because permits
+// are held by entries that don't use them, or arrive too late.
+func TestLimitsTakeNoMoreThanTheyMust(t *testing.T) {
+	const backends = 13
+	tests := []struct {
+		name      string
+		entries   int
+		limited   int
+		rate      float64
+		perSecond float64
+		pick      func(s *simulation) *simEntry
+		// leastServed is the share of the calls that must be answered.
+		leastServed float64
+	}{
+		{"one endpoint of many", 17, 1, 2.6, 112, throughAll, 1},
+		{"one endpoint of many, one entry", 17, 1, 2.6, 40, throughOne, 1},
+		{"all endpoints, calls below the sum", 17, backends, 8, 50, throughAll, 0.98},
+		{"all endpoints, one entry", 17, backends, 8, 50, throughOne, 0.98},
+		{"all endpoints, moving", 17, backends, 8, 50, moving, 0.98},
+		{"all endpoints, calls at twice the sum", 17, backends, 4, 104, throughAll, 0.9 * 0.5},
+		{"all endpoints, one entry, twice the sum", 17, backends, 4, 104, throughOne, 0.9 * 0.5},
+		{"all endpoints, 100 entries, twice the sum", 100, backends, 4, 104, throughAll, 0.9 * 0.5},
+	}
+	for _, tt := range tests {
+		for _, opts := range [][]balancer.Option{nil, {sampling}} {
+			t.Run(fmt.Sprint(tt.name, len(opts)), func(t *testing.T) {
+				s := startLimited(t, tt.entries, backends, 1, opts...)
+				load := traffic{tt.perSecond, tt.pick}
+				s.runTraffic(2*time.Second, load)
+				s.name(tt.rate, tt.limited)
+				s.runTraffic(4*time.Second, load)
+				calls, served := s.lastCall, s.responses
+				s.runTraffic(20*time.Second, load)
+				share := float64(s.responses-served) / float64(s.lastCall-calls)
+				t.Logf("%.3f of the calls served", share)
+				assert.Assert(t, share >= tt.leastServed-0.002, "%.3f of the calls served", share)
+				for _, b := range s.backends {
+					s.checkLimit(b)
+				}
+			})
+		}
+	}
+}
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -242,7 +242,9 @@
 	e.revision = 0
 	e.calls = map[balancer.CallID]string{}
 	e.idempotencyKeys = map[balancer.CallID]string{}
-	e.learnedAt = map[string]time.Time{}
+	if e.learnedAt == nil {
+		e.learnedAt = map[string]time.Time{}
+	}
 	e.disruptedAt = s.now
 	var addresses []string
 	for _, c := range s.replicas {
@@ -277,13 +279,17 @@
 	}
 }
 
+func (s *simulation) isFrozen(name string) bool {
+	return slices.ContainsFunc(s.entries, func(e *simEntry) bool { return e.frozen && e.name == name })
+}
+
 func (s *simulation) step() {
 	s.now = s.now.Add(step)
 	due := s.inFlight
 	s.inFlight = nil
 	for _, d := range due {
 		switch {
-		case d.at.After(s.now):
+		case d.at.After(s.now) || s.isFrozen(d.to):
 			s.inFlight = append(s.inFlight, d)
 		case !s.cutLinks[[2]string{d.from, d.to}]:
 			d.do()
@@ -337,7 +343,7 @@
 		Name: registrar.Name{Service: serviceName, Endpoint: b.name}, Address: "127.0.0.1:1", DataCentre: "dc",
 		Slots: 4, Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
 	}
-	if e.up {
+	if e.up && !e.frozen {
 		s.handleEntry(e, subscriber.Announced{Announcement: a})
 	}
 }
@@ -546,7 +552,7 @@
 	if !b.drainedAt.IsZero() && s.now.Sub(b.drainedAt) > maxDrainDelay {
 		s.t.Fatalf("%s got a new request %s after it announced its departure", b.name, s.now.Sub(b.drainedAt))
 	}
-	b.arrivals = append(b.arrivals, arrival{at: s.now, from: e, learnedAt: e.learnedAt[b.name], excused: s.now.Sub(e.disruptedAt) < contact})
+	b.arrivals = append(b.arrivals, arrival{at: s.now, from: e, learnedAt: e.learnedAt[b.name], excused: s.isExcused(e)})
 	ending, starts := b.outcome, e.starts
 	if ending == balancer.EndingComplete || ending == balancer.EndingLost {
 		s.recordRun(e, d.Call)
@@ -581,6 +587,7 @@
 }
 
 func (s *simulation) recordRefusal(e *simEntry, r balancer.Refuse) {
+
 	call := e.calls[r.Call]
 	s.refusals[call] = r.Outcome
 	if r.Outcome == balancer.OutcomeNotRun && s.runsByCall[call] > 0 {
@@ -592,7 +599,7 @@
 func (s *simulation) call(e *simEntry, key string, timeout time.Duration) {
 	s.lastCall++
 	name := fmt.Sprint("call-", s.lastCall)
-	if !e.up {
+	if !e.up || e.frozen {
 		return
 	}
 	e.lastCall++
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -17,6 +17,8 @@
 type waitingCall struct {
 	call     uint64
 	deadline time.Time
+	// reserved is set for a call that waits for a time which is known, and not for its turn.
+	reserved bool
 }
 
 // Queue holds the calls of one service that wait for an endpoint.
@@ -43,18 +45,28 @@
 // if the call is not expected to complete before its deadline. The expected time is the wait
 // in the queue plus serviceTime.
 func (q *Queue) Push(now time.Time, call uint64, class validator.Class, deadline time.Time, serviceTime time.Duration) bool {
-	calls := q.calls(class)
-	if len(*calls) >= q.limit {
-		return false
-	}
 	wait := time.Duration(q.ahead(class)+1) * q.popInterval
 	if now.Add(wait + serviceTime).After(deadline) {
 		return false
 	}
+	return q.add(now, class, waitingCall{call: call, deadline: deadline})
+}
+
+// PushReserved adds a call whose wait is known, and reports whether the queue had room. The
+// time until such a call leaves does not count for the expected time of others.
+func (q *Queue) PushReserved(now time.Time, call uint64, class validator.Class, deadline time.Time) bool {
+	return q.add(now, class, waitingCall{call: call, deadline: deadline, reserved: true})
+}
+
+func (q *Queue) add(now time.Time, class validator.Class, w waitingCall) bool {
+	calls := q.calls(class)
+	if len(*calls) >= q.limit {
+		return false
+	}
 	if q.Len() == 0 {
 		q.lastPop = now
 	}
-	*calls = append(*calls, waitingCall{call, deadline})
+	*calls = append(*calls, w)
 	return true
 }
 
@@ -82,7 +94,9 @@
 	}
 	w := (*calls)[0]
 	*calls = (*calls)[1:]
-	q.popInterval += (now.Sub(q.lastPop) - q.popInterval) / bulkInterval
+	if !w.reserved {
+		q.popInterval += (now.Sub(q.lastPop) - q.popInterval) / bulkInterval
+	}
 	q.lastPop = now
 	return w.call, !now.Before(w.deadline), true
 }
--- a/core/permitter/permitter.go
+++ b/core/permitter/permitter.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// horizon is how far ahead permits are issued.
-	horizon = throttler.PermitLife
+	// horizon is how far ahead permits are issued: no further than calls may wait for one.
+	horizon = 200 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time until an entry requests permits again.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -64,7 +64,7 @@
 // Handle processes what an entry tells of an endpoint, as the leader of a term. It returns the
 // reply, and whether the limit has changed.
 func (p *Permitter) Handle(now time.Time, term uint64, name registrar.Name, incarnation uint64, v throttler.Request) (throttler.Grant, bool) {
-	r, changed := p.update(term, name, incarnation, v)
+	r, changed := p.update(now, term, name, incarnation, v)
 	if r == nil {
 		return throttler.Grant{}, false
 	}
@@ -87,7 +87,7 @@
 
 // update applies the limit that an entry knows. It returns the record of the endpoint, or nil if
 // there is none, and whether the limit has changed.
-func (p *Permitter) update(term uint64, name registrar.Name, incarnation uint64, v throttler.Request) (*record, bool) {
+func (p *Permitter) update(now time.Time, term uint64, name registrar.Name, incarnation uint64, v throttler.Request) (*record, bool) {
 	r, known := p.records[name]
 	if known && incarnation < r.Incarnation {
 		return r, false
@@ -104,6 +104,9 @@
 	}
 	p.lastVersion = max(p.lastVersion+1, term<<termBits)
 	r.Limit = throttler.Limit{Rate: v.Limit.Rate, Version: p.lastVersion}
+	if r.next.After(now) {
+		r.next = now // entries drop the permits of a higher limit; those of a lower one are too few
+	}
 	return r, true
 }
 
--- a/core/throttler/throttle.go
+++ b/core/throttler/throttle.go
@@ -99,7 +99,11 @@
 	return true
 }
 
+// setRate changes the rate. Permits that were issued for a higher one are dropped.
 func (t *Throttle) setRate(now time.Time, rate float64) {
+	if Restricts(rate, t.limit.Rate) {
+		t.permits = nil
+	}
 	t.limit.Rate = rate
 	t.learnedAt = now
 	t.nextRequest = time.Time{}
@@ -180,7 +184,7 @@
 		t.entries = g.Entries
 	}
 	t.Adopt(now, g.Limit)
-	if !t.Limited() {
+	if !t.Limited() || g.Limit.Version < t.limit.Version {
 		return
 	}
 	for i := range g.Permits {
@@ -252,7 +256,7 @@
 // Expected returns how many permits this entry holds or has asked for.
 func (t *Throttle) Expected(now time.Time) int {
 	t.refresh(now)
-	return len(t.permits) + t.requested + t.wanted
+	return len(t.permits) + t.requested
 }
 
 // NextPermit returns when the next permit can be used or requested.
