Let a probe that is a fraction of a nanosecond short wait

Cause: the wait until the budget share suffices was rounded down to zero when less than a nanosecond was missing, so the balancer stayed due without being able to probe. Change: any missing amount waits for at least the granularity.

--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -92,9 +92,9 @@
 	}
 	micros := (float64(Timeout.Microseconds()) - p.micros) / float64(p.share.ProbeMicros)
 	bytes := (MaxBytes - p.bytes) / float64(p.share.ProbeBytes)
-	wait := time.Duration(max(0, micros, bytes) * float64(time.Second))
-	if wait > 0 {
-		wait = wait.Truncate(waitGranularity) + waitGranularity
+	var wait time.Duration
+	if missing := max(micros, bytes); missing > 0 {
+		wait = time.Duration(missing*float64(time.Second)).Truncate(waitGranularity) + waitGranularity
 	}
 	if at := now.Add(wait); at.Before(p.until) {
 		return at
