Tell entries how many share a limit; time own permits by the request

Callers and endpoints would have seen: on the platform, whose document names one entry, each entry that lost control before it first asked would have issued half of a limit by itself. Cause: the number of entries came from the document until the first reply for the endpoint. Change: heartbeat replies carry the number of connected entries; without one, 100 are assumed. Permits that an entry issues itself count from the time when the reply was overdue, at a random phase that is drawn with the request, so that they don't depend on when the balancer is called. The comparison of balancers that are called when due with polled ones plays limits now. It found two differences that were there before: timers with equal times fired in any order, and the time of the next typical latency depended on the calls. Both are a function of the inputs now.

--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -40,7 +40,7 @@
 // recordLatency adds the latency of a response to the moving averages.
 func (b *Balancer) recordLatency(now time.Time, e *endpoint, r Report, latency time.Duration) {
 	b.candidates[e.index].RecordLatency(now, latency)
-	b.latenciesChanged = true
+	b.noteLatency(now)
 	b.picker.RecordResponse(latency, r.Load, e.Slots)
 	b.quantile.observe(latency, hedgeQuantile)
 }
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -118,9 +118,11 @@
 	// configLeaseUntil is when the configuration lease expires, unless it is renewed.
 	configLeaseUntil time.Time
 	// quantile estimates the latency that most responses stay below.
-	quantile  quantile
-	entries   int
-	probePath string
+	quantile quantile
+	entries  int
+	// knownEntries is the number of entries that control knows; zero when unknown.
+	knownEntries int
+	probePath    string
 	// latenciesChanged is set when a latency has changed since the typical latency was computed.
 	// It is computed again at nextTypicalUpdate at the earliest.
 	latenciesChanged  bool
@@ -210,6 +212,7 @@
 	case EndpointsChanged:
 		b.onEndpointsChanged(now, v)
 	case ConfigLeaseChanged:
+		b.setKnownEntries(v.Entries)
 		b.onConfigLeaseChanged(now, v.Until)
 	case ShareGranted:
 		b.prober.Grant(now, v.Share, v.Until)
--- a/core/balancer/due.go
+++ b/core/balancer/due.go
@@ -28,12 +28,25 @@
 // typicalLatencyInterval is the minimum time between two computations of the typical latency.
 const typicalLatencyInterval = 20 * time.Millisecond
 
+// noteLatency schedules the next computation of the typical latency. Its time depends on the times
+// of the latencies only, and not on when the balancer is called.
+func (b *Balancer) noteLatency(now time.Time) {
+	if b.latenciesChanged {
+		return
+	}
+	b.latenciesChanged = true
+	if next := b.nextTypicalUpdate.Add(typicalLatencyInterval); now.Before(next) {
+		b.nextTypicalUpdate = next
+		return
+	}
+	b.nextTypicalUpdate = now
+}
+
 // refresh updates the state by which endpoints are chosen: what has changed by time alone, and
 // what earlier inputs have deferred.
 func (b *Balancer) refresh(now time.Time) {
 	if b.latenciesChanged && !now.Before(b.nextTypicalUpdate) {
 		b.latenciesChanged = false
-		b.nextTypicalUpdate = now.Add(typicalLatencyInterval)
 		b.picker.UpdateTypicalLatency(b.candidates)
 	}
 	if !b.nextAvailabilityChange.IsZero() && !now.Before(b.nextAvailabilityChange) {
--- a/core/balancer/due_test.go
+++ b/core/balancer/due_test.go
@@ -12,6 +12,7 @@
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/router"
+	"comfreyplank.org/core/throttler"
 )
 
 // balancerPair holds two balancers that get the same inputs. One is called when it is due, the
@@ -19,6 +20,15 @@
 type balancerPair struct {
 	*harness
 	polled *Balancer
+	// wanted are the requests for permits without a reply.
+	wanted []RequestPermits
+}
+
+func randomStatement(rt *rapid.T) throttler.Statement {
+	return rapid.SampledFrom([]throttler.Statement{
+		{Kind: throttler.StatementNone}, {Kind: throttler.StatementInvalid},
+		{Kind: throttler.StatementLimit, Rate: 0.5}, {Kind: throttler.StatementLimit, Rate: 3}, {Kind: throttler.StatementLimit, Rate: 40},
+	}).Draw(rt, "statement")
 }
 
 func newBalancerPair(endpoints, retryPercent int, sampling Sampling) *balancerPair {
@@ -42,6 +52,9 @@
 		if p, ok := a.(Probe); ok {
 			h.probes = append(h.probes, p)
 		}
+		if w, ok := a.(RequestPermits); ok {
+			h.wanted = append(h.wanted, w)
+		}
 	}
 }
 
@@ -66,7 +79,7 @@
 }
 
 func (h *balancerPair) randomInput(rt *rapid.T) Input {
-	switch rapid.IntRange(0, 6).Draw(rt, "input") {
+	switch rapid.IntRange(0, 9).Draw(rt, "input") {
 	case 0:
 		until := h.now.Add(time.Duration(rapid.IntRange(-1, 2000).Draw(rt, "standing")) * time.Millisecond)
 		return ConfigLeaseChanged{Until: until}
@@ -84,6 +97,21 @@
 		h.dispatched = h.dispatched[1:]
 		report := Report{Load: rapid.IntRange(-1, 3).Draw(rt, "load"), State: rapid.SampledFrom([]registrar.State{"", registrar.StateServing}).Draw(rt, "reported state")}
 		return AttemptEnded{Attempt: d.Attempt, Ending: rapid.SampledFrom([]Ending{EndingNotSent, EndingRefused, EndingLost, EndingTimeout}).Draw(rt, "ending"), Report: report}
+	case 5:
+		if len(h.dispatched) > 0 {
+			return ResponseStarted{Attempt: h.dispatched[0].Attempt, Status: 200, Report: Report{Load: 1, Limit: randomStatement(rt)}}
+		}
+	case 6:
+		if len(h.wanted) > 0 {
+			w := h.wanted[0]
+			h.wanted = h.wanted[1:]
+			return PermitsGranted{Endpoint: w.Endpoint, Incarnation: w.Incarnation, SentAt: h.now, Grant: throttler.Grant{
+				Limit:   throttler.Limit{Rate: w.Request.Limit.Rate, Version: w.Request.Limit.Version + 1},
+				Entries: 3, Permits: rapid.IntRange(0, w.Request.Permits).Draw(rt, "permits"),
+				Delay: time.Duration(rapid.IntRange(-100, 200).Draw(rt, "delay")) * time.Millisecond, Interval: 30 * time.Millisecond,
+				RetryAfter: time.Duration(rapid.IntRange(0, 300).Draw(rt, "retry after")) * time.Millisecond,
+			}}
+		}
 	case 4:
 		if len(h.probes) == 0 {
 			break
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -269,7 +269,7 @@
 // consecutive failures or a failed trial.
 func (b *Balancer) recordFailure(now time.Time, e *endpoint) {
 	b.picker.RecordFailure(now, &b.candidates[e.index])
-	b.latenciesChanged = true
+	b.noteLatency(now)
 	b.candidates[e.index].RecordRatio(now, failureSlowdown)
 	e.failures++
 	trialFailed := e.ejected() && e.trial
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -105,6 +105,8 @@
 // ConfigLeaseChanged renews or ends the configuration lease of the entry.
 type ConfigLeaseChanged struct {
 	Until time.Time
+	// Entries is the number of entries that control knows; zero when unknown.
+	Entries int
 }
 
 // ShareGranted replaces the entry's share of the probe budget.
--- a/core/balancer/limit.go
+++ b/core/balancer/limit.go
@@ -50,6 +50,30 @@
 	e.statement = throttler.Statement{}
 }
 
+// assumedEntries is how many entries are taken to share a limit while control has told no number.
+const assumedEntries = 100
+
+// sharingEntries returns how many entries share the limits of endpoints.
+func (b *Balancer) sharingEntries() int {
+	if b.knownEntries > 0 {
+		return b.knownEntries
+	}
+	return max(b.entries, assumedEntries)
+}
+
+// setKnownEntries applies the number of entries that control knows.
+func (b *Balancer) setKnownEntries(entries int) {
+	if entries <= 0 || entries == b.knownEntries {
+		return
+	}
+	b.knownEntries = entries
+	for _, e := range b.endpoints {
+		if e.throttle != nil {
+			e.throttle.SetEntries(entries)
+		}
+	}
+}
+
 // observeLimit applies what a response states about the endpoint's limit.
 func (b *Balancer) observeLimit(now time.Time, a *attempt, s throttler.Statement) {
 	b.observe(now, a.call, a.endpoint, a.sentAt, s)
@@ -80,7 +104,7 @@
 		if s.Kind != throttler.StatementLimit {
 			return
 		}
-		e.throttle = throttler.New(b.rand, b.entries)
+		e.throttle = throttler.New(b.rand, b.sharingEntries())
 	}
 	if e.throttle.Observe(now, sentAt, s) {
 		b.onLimitChanged(now, e)
@@ -93,7 +117,7 @@
 		return
 	}
 	if e.throttle == nil {
-		e.throttle = throttler.New(b.rand, b.entries)
+		e.throttle = throttler.New(b.rand, b.sharingEntries())
 	}
 	if e.throttle.Adopt(now, l) {
 		b.record(recorder.KindEndpointLimitChanged, nil, e, fmt.Sprintf("%s, version %d of control", describeRate(l.Rate), l.Version))
@@ -144,6 +168,7 @@
 	}
 	before := e.throttle.Limit().Rate
 	e.throttle.Grant(now, v.SentAt, v.Grant)
+	b.setKnownEntries(v.Grant.Entries)
 	b.limitCounts.Granted += uint64(v.Grant.Permits)
 	if rate := e.throttle.Limit().Rate; rate != before {
 		b.record(recorder.KindEndpointLimitChanged, nil, e, fmt.Sprintf("%s, version %d of control", describeRate(rate), v.Grant.Limit.Version))
@@ -251,7 +276,7 @@
 func (b *Balancer) latestSending(c *call) time.Time {
 	usual := b.usualTime.of(c.LatencyTarget)
 	if c.LatencyTarget == 0 || usual == 0 {
-		return c.Deadline.Add(-b.picker.TypicalLatency())
+		return c.Deadline.Add(-b.quantile.value)
 	}
 	latest := c.arrivedAt.Add(c.LatencyTarget - scale(usual, workTimeMargin))
 	if latest.After(c.Deadline) {
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 )
@@ -22,13 +23,15 @@
 	kind timerKind
 }
 
-// timers is a heap ordered by due time. The timers of calls that have ended are discarded when
+// timers is a heap ordered by due time, and by call and kind if that is equal. The timers of calls that have ended are discarded when
 // they are due.
 type timers []timer
 
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return cmp.Or(t[i].at.Compare(t[j].at), cmp.Compare(t[i].call, t[j].call), cmp.Compare(t[i].kind, t[j].kind)) < 0
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
 
 // Push implements heap.Interface.
 func (t *timers) Push(x any) { *t = append(*t, x.(timer)) } //nolint:forcetypeassert // only timers are pushed
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -113,6 +113,8 @@
 	shares           map[string]heldShare
 	entryAllotters   map[string]*allotter.Allotter
 	nextShareRequest time.Time
+	// reportedEntries is the number of entries that the leader has last reported.
+	reportedEntries  int
 	nextPresence     time.Time
 	nextClockAdvance time.Time
 	permits          *permitter.Permitter
--- a/core/controller/limit_test.go
+++ b/core/controller/limit_test.go
@@ -301,3 +301,46 @@
 		}
 	}
 }
+
+// TestLimitHoldsWithoutControl guards against entries that each use the whole limit, or less than a
+// quarter of it together, while no replica can issue permits.
+func TestLimitHoldsWithoutControl(t *testing.T) {
+	const backends = 13
+	tests := []struct {
+		name    string
+		entries int
+		rate    float64
+		// stop takes the replicas away before or after the limit is named.
+		stopFirst bool
+	}{
+		{"17 entries, lost before", 17, 2.6, true},
+		{"17 entries, lost after", 17, 2.6, false},
+		{"100 entries, lost before", 100, 2.6, true},
+		{"100 entries, lost after", 100, 10, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startLimited(t, tt.entries, backends, 1, sampling, balancer.WithOptionalConfigLease())
+			load := traffic{104, throughAll}
+			s.runTraffic(5*time.Second, load)
+			if !tt.stopFirst {
+				s.name(tt.rate, backends)
+				s.runTraffic(3*time.Second, load)
+			}
+			for _, c := range s.replicas {
+				s.crash(c)
+			}
+			if tt.stopFirst {
+				s.name(tt.rate, backends)
+			}
+			s.runTraffic(8*time.Second, load)
+			served := s.responses
+			s.runTraffic(20*time.Second, load)
+			for _, b := range s.backends {
+				s.checkLimit(b)
+			}
+			perBackend := float64(s.responses-served) / 20 / backends
+			assert.Assert(t, perBackend >= tt.rate/4, "%.2f requests a second for each endpoint", perBackend)
+		})
+	}
+}
--- a/core/controller/limits.go
+++ b/core/controller/limits.go
@@ -89,6 +89,14 @@
 	return fmt.Sprintf("%g requests a second from all entries, version %d", l.Limit.Rate, l.Limit.Version)
 }
 
+// entryCount returns how many entries are connected to all replicas, as far as this one knows.
+func (c *Controller) entryCount(now time.Time) int {
+	if c.isLeader() {
+		return c.knownEntries(now)
+	}
+	return max(c.reportedEntries, len(c.connections()))
+}
+
 // knownEntries returns how many entries are connected to the replicas.
 func (c *Controller) knownEntries(now time.Time) int {
 	n := len(c.connections())
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -181,7 +181,7 @@
 	e.revision = b.Revision
 	e.leaving = b.Leaving
 	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.inContactWithQuorum(now)
-	reply := messenger.HeartbeatReply{Sequence: b.Sequence, ConfigLease: holdsLease}
+	reply := messenger.HeartbeatReply{Sequence: b.Sequence, ConfigLease: holdsLease, Entries: c.entryCount(now)}
 	if holdsLease {
 		e.configLeaseUntil = now.Add(messenger.ConfigLeaseDuration)
 		reply.Shares = c.entryShares(now, e.hello.Entry)
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -470,7 +470,7 @@
 	case subscriber.ChangeEndpoints:
 		s.handleBalancer(e, v.Changed)
 	case subscriber.RenewConfigLease:
-		s.handleBalancer(e, balancer.ConfigLeaseChanged{Until: v.Until})
+		s.handleBalancer(e, balancer.ConfigLeaseChanged{Until: v.Until, Entries: v.Entries})
 	case subscriber.Grant:
 		e.shareGrants = []balancer.ShareGranted{v.Granted}
 		s.handleBalancer(e, v.Granted)
--- a/core/controller/watching.go
+++ b/core/controller/watching.go
@@ -75,13 +75,16 @@
 		return
 	}
 	p.entries = v.Entries
-	if shares := c.allocateShares(now, v.From, v.Entries); len(shares) > 0 {
-		c.emit(SendPeer{Address: p.member.Address, Message: messenger.ShareReply{Sent: v.Sent, Run: v.Run, Shares: shares}})
+	if !c.isLeader() || !c.inContactWithQuorum(now) {
+		return
 	}
+	shares := c.allocateShares(now, v.From, v.Entries)
+	c.emit(SendPeer{Address: p.member.Address, Message: messenger.ShareReply{Sent: v.Sent, Run: v.Run, Entries: c.knownEntries(now), Shares: shares}})
 }
 
 func (c *Controller) onShareReply(v messenger.ShareReply) {
 	if v.Run == c.incarnation {
+		c.reportedEntries = v.Entries
 		c.storeShares(c.startedAt.Add(v.Sent), v.Shares)
 	}
 }
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -99,7 +99,9 @@
 	Sequence uint64
 	// ConfigLease is set if the configuration lease was granted or renewed.
 	ConfigLease bool
-	Shares      []ServiceShare
+	// Entries is the number of entries that are connected to all replicas; zero when unknown.
+	Entries int
+	Shares  []ServiceShare
 }
 
 // ServiceShare is a share of the probe budget of one service.
@@ -240,9 +242,11 @@
 
 // ShareReply is the reply to a ShareRequest.
 type ShareReply struct {
-	Sent   time.Duration
-	Run    uint64
-	Shares []ServiceShare
+	Sent time.Duration
+	Run  uint64
+	// Entries is the number of entries that are connected to all replicas.
+	Entries int
+	Shares  []ServiceShare
 }
 
 // RelayedPermitRequest passes the request of an entry on to the leader.
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -135,6 +135,8 @@
 // RenewConfigLease extends the configuration lease in every balancer.
 type RenewConfigLease struct {
 	Until time.Time
+	// Entries is the number of entries that control knows; zero when unknown.
+	Entries int
 }
 
 // Grant replaces a service's share of the probe budget.
@@ -421,7 +423,7 @@
 	s.laggingReplicas = 0
 	s.failedStreams = 0
 	s.configLeaseUntil = sentAt.Add(messenger.ConfigLeaseDuration)
-	s.emit(RenewConfigLease{Until: s.configLeaseUntil})
+	s.emit(RenewConfigLease{Until: s.configLeaseUntil, Entries: v.Entries})
 	if !s.configLeaseHeld {
 		s.configLeaseHeld = true
 		s.record(recorder.KindConfigLeaseChanged, fmt.Sprintf("in standing at revision %d", s.revision))
--- a/core/throttler/throttle.go
+++ b/core/throttler/throttle.go
@@ -47,7 +47,10 @@
 	nextRequest time.Time
 	// unanswered is set from the time when a reply is overdue until the next one arrives.
 	unanswered bool
-	// nextOwn is the time of the next permit that this entry issues itself.
+	// phase is the part of the interval after which this entry issues the first permit itself,
+	// from 0 to 1. Other entries may have lost control at the same time.
+	phase float64
+	// nextOwn is the time of the next permit that this entry issues itself; zero if there was none.
 	nextOwn time.Time
 }
 
@@ -57,6 +60,9 @@
 	return &Throttle{rand: source, entries: max(1, entries)}
 }
 
+// SetEntries sets the number of entries that share the limit.
+func (t *Throttle) SetEntries(entries int) { t.entries = max(1, entries) }
+
 // Limit returns the limit that the entry applies.
 func (t *Throttle) Limit() Limit { return t.limit }
 
@@ -107,14 +113,23 @@
 	t.limit.Rate = rate
 	t.learnedAt = now
 	t.nextRequest = time.Time{}
-	if rate == 0 {
+	t.nextOwn = time.Time{}
+	switch {
+	case rate == 0:
 		t.permits = nil
 		t.wanted = 0
 		t.endRequest()
 		t.unanswered = false
+	case t.unanswered:
+		t.startOwn(now)
 	}
 }
 
+// startOwn schedules the first permit that this entry issues itself.
+func (t *Throttle) startOwn(from time.Time) {
+	t.nextOwn = from.Add(time.Duration(t.phase * float64(t.ownInterval())))
+}
+
 func (t *Throttle) endRequest() {
 	t.requestedAt = time.Time{}
 	t.requested = 0
@@ -154,6 +169,7 @@
 		t.requestedAt = now
 		t.requested = permits
 		t.wanted = 0
+		t.phase = t.rand.Float64()
 	}
 	t.unreported = false
 	return Request{Limit: t.limit, Observed: t.observed, Permits: permits}, true
@@ -180,9 +196,7 @@
 func (t *Throttle) Grant(now, sentAt time.Time, g Grant) {
 	t.endRequest()
 	t.unanswered = false
-	if g.Entries > 0 {
-		t.entries = g.Entries
-	}
+	t.nextOwn = time.Time{}
 	t.Adopt(now, g.Limit)
 	if !t.Limited() || g.Limit.Version < t.limit.Version {
 		return
@@ -205,9 +219,12 @@
 // refresh removes expired permits, and issues own ones while a reply is overdue.
 func (t *Throttle) refresh(now time.Time) {
 	t.permits = slices.DeleteFunc(t.permits, func(p permit) bool { return !now.Before(p.until) })
-	if t.awaitsReply() && now.Sub(t.requestedAt) >= replyTimeout {
+	if overdue := t.requestedAt.Add(replyTimeout); t.awaitsReply() && !now.Before(overdue) {
 		t.endRequest()
 		t.unanswered = true
+		if t.nextOwn.IsZero() {
+			t.startOwn(overdue)
+		}
 	}
 	if t.unanswered {
 		t.issueOwn(now)
@@ -219,13 +236,9 @@
 	return time.Duration(float64(time.Second) * ownShareDivisor * float64(t.entries) / t.limit.Rate)
 }
 
-// issueOwn issues the permits that are due. The first one comes after a random part of the
-// interval, as other entries may have lost control at the same time.
+// issueOwn issues the permits that are due.
 func (t *Throttle) issueOwn(now time.Time) {
 	interval := t.ownInterval()
-	if t.nextOwn.IsZero() || now.Sub(t.nextOwn) > interval+PermitLife {
-		t.nextOwn = now.Add(time.Duration(t.rand.Int64N(int64(interval))))
-	}
 	for !now.Before(t.nextOwn) {
 		if until := t.nextOwn.Add(PermitLife); now.Before(until) {
 			t.add(permit{t.nextOwn, until})
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -52,9 +52,10 @@
 	configured     chan struct{}
 	configuredOnce sync.Once
 
-	mu               sync.RWMutex
-	dispatchers      map[string]*serviceDispatcher
-	configLeaseUntil time.Time
+	mu          sync.RWMutex
+	dispatchers map[string]*serviceDispatcher
+	// configLease is the state of the configuration lease, for the balancers of new services.
+	configLease balancer.ConfigLeaseChanged
 }
 
 // activeConfig is the part of the document in effect that new requests need.
@@ -78,7 +79,7 @@
 	for _, service := range doc.Services {
 		if d.dispatchers[service.Name] == nil {
 			s := newServiceDispatcher(d.incarnation, service, d.deps)
-			s.handle(balancer.ConfigLeaseChanged{Until: d.configLeaseUntil})
+			s.handle(d.configLease)
 			d.dispatchers[service.Name] = s
 		}
 	}
@@ -134,11 +135,14 @@
 }
 
 // RenewConfigLease sets the end of the configuration lease in every balancer.
-func (d *Dispatcher) RenewConfigLease(configLeaseUntil time.Time) {
+// Entries is the number of entries that control knows.
+func (d *Dispatcher) RenewConfigLease(configLeaseUntil time.Time, entries int) {
 	d.mu.Lock()
-	d.configLeaseUntil = configLeaseUntil
+	d.configLease = balancer.ConfigLeaseChanged{Until: configLeaseUntil, Entries: entries}
 	d.mu.Unlock()
-	d.forEachService(func(s *serviceDispatcher) { s.handle(balancer.ConfigLeaseChanged{Until: configLeaseUntil}) })
+	d.forEachService(func(s *serviceDispatcher) {
+		s.handle(balancer.ConfigLeaseChanged{Until: configLeaseUntil, Entries: entries})
+	})
 }
 
 func (d *Dispatcher) serviceDispatcher(service string) *serviceDispatcher {
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -56,7 +56,7 @@
 		{PathPrefix: "/once", DeadlineMs: 5000, Class: validator.ClassInteractive, Execution: validator.ExecutionOnceOnly},
 	}}
 	f.Configure(validator.Document{Services: []validator.Service{service}})
-	f.RenewConfigLease(time.Now().Add(time.Hour))
+	f.RenewConfigLease(time.Now().Add(time.Hour), 1)
 	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: endpointsAt(endpoints), Entries: 1})
 	f.server = httptest.NewServer(f.Dispatcher)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -210,7 +210,7 @@
 		case subscriber.ChangeEndpoints:
 			f.dispatcher.Handle(v.Service, v.Changed)
 		case subscriber.RenewConfigLease:
-			f.dispatcher.RenewConfigLease(v.Until)
+			f.dispatcher.RenewConfigLease(v.Until, v.Entries)
 		case subscriber.Grant:
 			f.dispatcher.Handle(v.Service, v.Granted)
 		case subscriber.Decide:
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -70,7 +70,7 @@
 		messenger.ReplicaAddresses{Addresses: []string{"127.0.0.1:1", "127.0.0.1:2"}},
 		messenger.Lagging{},
 		messenger.Configuration{Revision: 1, Document: validator.Document{ChangeID: "c", Services: []validator.Service{{Name: "s"}}}},
-		messenger.HeartbeatReply{Sequence: 1, ConfigLease: true, Shares: []messenger.ServiceShare{share}},
+		messenger.HeartbeatReply{Sequence: 1, ConfigLease: true, Entries: 17, Shares: []messenger.ServiceShare{share}},
 		messenger.EndpointUpdate{Full: true, Changed: []registrar.Announcement{announcement}, Removed: []registrar.Name{name}},
 		messenger.ClaimReply{Request: 1, NotProposed: true, Result: claimer.Result{Verdict: claimer.VerdictDone, Response: claimer.Response{Status: 201, Stored: true, Body: []byte("b")}}},
 		permitReply,
--- a/shell/encoder/entry.go
+++ b/shell/encoder/entry.go
@@ -78,7 +78,7 @@
 		configuration := &wire.Configured{Revision: v.Revision, Document: document}
 		return &wire.FromControl{Message: &wire.FromControl_Configured{Configured: configuration}}, nil
 	case messenger.HeartbeatReply:
-		reply := &wire.BeatAnswer{Sequence: v.Sequence, Standing: v.ConfigLease, Shares: convertAll(v.Shares, encodeShare)}
+		reply := &wire.BeatAnswer{Sequence: v.Sequence, Standing: v.ConfigLease, Entries: int64(v.Entries), Shares: convertAll(v.Shares, encodeShare)}
 		return &wire.FromControl{Message: &wire.FromControl_BeatAnswer{BeatAnswer: reply}}, nil
 	case messenger.EndpointUpdate:
 		endpoints := &wire.Endpoints{Full: v.Full, Changed: convertAll(v.Changed, encodeAnnouncement), Removed: convertAll(v.Removed, encodeName)}
@@ -114,7 +114,7 @@
 		return messenger.Configuration{Revision: v.Configured.GetRevision(), Document: document}, nil
 	case *wire.FromControl_BeatAnswer:
 		b := v.BeatAnswer
-		return messenger.HeartbeatReply{Sequence: b.GetSequence(), ConfigLease: b.GetStanding(), Shares: convertAll(b.GetShares(), decodeShare)}, nil
+		return messenger.HeartbeatReply{Sequence: b.GetSequence(), ConfigLease: b.GetStanding(), Entries: int(b.GetEntries()), Shares: convertAll(b.GetShares(), decodeShare)}, nil
 	case *wire.FromControl_Endpoints:
 		e := v.Endpoints
 		return messenger.EndpointUpdate{
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -27,7 +27,7 @@
 		request := &wire.ShareRequest{Sent: int64(v.Sent), From: v.From, Run: v.Run, Entries: int64(v.Entries)}
 		return &wire.FromPeer{Message: &wire.FromPeer_ShareRequest{ShareRequest: request}}, nil
 	case messenger.ShareReply:
-		reply := &wire.ShareReply{Sent: int64(v.Sent), Run: v.Run, Shares: convertAll(v.Shares, encodeShare)}
+		reply := &wire.ShareReply{Sent: int64(v.Sent), Run: v.Run, Entries: int64(v.Entries), Shares: convertAll(v.Shares, encodeShare)}
 		return &wire.FromPeer{Message: &wire.FromPeer_ShareReply{ShareReply: reply}}, nil
 	case messenger.RelayedPermitRequest:
 		request := &wire.RelayedPermitRequest{From: v.From, Run: v.Run, Stream: v.Stream, Entry: v.Entry, Request: encodePermitRequest(v.Request)}
@@ -57,7 +57,7 @@
 		return messenger.ShareRequest{Sent: time.Duration(r.GetSent()), From: r.GetFrom(), Run: r.GetRun(), Entries: int(r.GetEntries())}, nil
 	case *wire.FromPeer_ShareReply:
 		r := v.ShareReply
-		return messenger.ShareReply{Sent: time.Duration(r.GetSent()), Run: r.GetRun(), Shares: convertAll(r.GetShares(), decodeShare)}, nil
+		return messenger.ShareReply{Sent: time.Duration(r.GetSent()), Run: r.GetRun(), Entries: int(r.GetEntries()), Shares: convertAll(r.GetShares(), decodeShare)}, nil
 	case *wire.FromPeer_RelayedPermitRequest:
 		r := v.RelayedPermitRequest
 		return messenger.RelayedPermitRequest{From: r.GetFrom(), Run: r.GetRun(), Stream: r.GetStream(), Entry: r.GetEntry(), Request: decodePermitRequest(r.GetRequest())}, nil
