Test what counts against a limit, who keeps it and what it costs

A permit is not requested for an endpoint whose slots are all taken by this entry (found by the table: the call that waited for a slot got a permit that it could not use). Check: go test ./core/...

--- a/core/balancer/limit.go
+++ b/core/balancer/limit.go
@@ -319,7 +319,7 @@
 			continue
 		}
 		missing -= e.throttle.Expected(now)
-		if e.throttle.MayRequest(now) {
+		if c := &b.candidates[e.index]; c.InFlight < c.Limit && e.throttle.MayRequest(now) {
 			requestable = append(requestable, e)
 		}
 	}
--- a/core/controller/limit_test.go
+++ b/core/controller/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -344,3 +345,55 @@
 		})
 	}
 }
+
+// TestLimitsCostABoundedNumberOfMessages guards against messages that grow with the number of
+// endpoints that name a limit, and against any at rest.
+func TestLimitsCostABoundedNumberOfMessages(t *testing.T) {
+	const entries, backends = 50, 200
+	s := startLimited(t, entries, backends, 1, sampling)
+	load := traffic{200, throughAll}
+	s.runTraffic(2*time.Second, load)
+	assert.Equal(t, s.permitMessages, 0, "no limit is named")
+	s.name(2, backends)
+	s.runTraffic(2*time.Second, load)
+	s.permitMessages, s.limitMessages = 0, 0
+	const seconds = 10
+	s.runTraffic(seconds*time.Second, load)
+	perEntry := float64(s.permitMessages) / entries / seconds
+	assert.Assert(t, perEntry <= 20, "%.1f requests for permits a second from each entry", perEntry)
+	limits := float64(s.limitMessages) / entries / seconds
+	assert.Assert(t, limits <= 10, "%.1f messages with limits a second to each entry", limits)
+	s.permitMessages, s.limitMessages = 0, 0
+	s.runFor(5 * time.Second)
+	s.permitMessages, s.limitMessages = 0, 0
+	s.runFor(seconds * time.Second)
+	assert.Equal(t, s.permitMessages+s.limitMessages, 0, "no calls")
+}
+
+// TestEntriesThatSawNoResponseKeepTheLimit guards against entries that learn of a limit only from a
+// response of their own: those that join later, or had no call for the endpoint yet.
+func TestEntriesThatSawNoResponseKeepTheLimit(t *testing.T) {
+	s := startLimited(t, 100, 13, 1, sampling)
+	load := traffic{200, throughAll}
+	s.runTraffic(2*time.Second, load)
+	s.name(2.6, 1)
+	s.runTraffic(time.Second, load)
+	for _, e := range s.entries[:50] {
+		s.crashEntry(e)
+		s.startEntry(e)
+	}
+	s.runTraffic(500*time.Millisecond, load)
+	from := s.now
+	s.runTraffic(12*time.Second, load)
+	b := s.backends[0]
+	first := slices.IndexFunc(b.arrivals, func(a arrival) bool { return a.at.After(from) })
+	counted := b.arrivals[first:]
+	start := 0
+	for end := range counted {
+		for counted[end].at.Sub(counted[start].at) >= limitWindow {
+			start++
+		}
+		assert.Assert(t, float64(end-start+1) <= limitFactor*limitWindow.Seconds()*2.6+limitSlack)
+	}
+	assert.Assert(t, len(counted) > 12, "the limit is used")
+}
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -70,8 +70,11 @@
 	runsByKey              map[string]int
 	runsByCall             map[string]int
 	refusals               map[string]balancer.Outcome
-	responses              int
-	lastCall               int
+	// permitMessages counts the requests of entries for permits, and limitMessages the messages to
+	// them with limits.
+	permitMessages, limitMessages int
+	responses                     int
+	lastCall                      int
 }
 
 // delivery is an event that happens later at a node.
@@ -439,6 +442,9 @@
 					if _, ok := v.Message.(messenger.Configuration); ok {
 						e.configMessages++
 					}
+					if _, ok := v.Message.(messenger.LimitUpdate); ok {
+						s.limitMessages++
+					}
 					s.handleEntry(e, subscriber.MessageReceived{Message: v.Message})
 				}
 			})
@@ -515,6 +521,9 @@
 	if c == nil {
 		return
 	}
+	if _, ok := m.(messenger.PermitRequest); ok {
+		s.permitMessages++
+	}
 	s.deliverLater(e.name, c.name, true, func() {
 		if c.up && e.connectedTo == c && connOf(e) == conn {
 			s.handle(c, controller.EntryMessage{Conn: conn, Message: m})
