Play limits in the soak and measure them with real processes

Soak: endpoints name limits of 2.6, 5 or 12 a second for 4 to 9 s, from a random stream of their own, so that the plans of earlier seeds stay; the checker counts by the users' bound.

--- a/bench/main.go
+++ b/bench/main.go
@@ -25,6 +25,7 @@
 	mustAdd(parser, "load", "Send an open-loop load", &loadCommand{ctx: ctx})
 	mustAdd(parser, "compare", "Compare ways to choose endpoints, in virtual time", &compareCommand{})
 	mustAdd(parser, "control", "Measure the control replicas with real processes", &controlCommand{})
+	mustAdd(parser, "limit", "Measure endpoints that name a limit, with real processes", &limitCommand{ctx: ctx})
 	_, err := parser.Parse()
 	var usage *flags.Error
 	switch {
--- a/core/permitter/permitter_test.go
+++ b/core/permitter/permitter_test.go
@@ -24,7 +24,7 @@
 // TestLimitChangesOnlyByNewerStatements guards against an entry with outdated knowledge that lifts
 // the limit of an endpoint for all.
 func TestLimitChangesOnlyByNewerStatements(t *testing.T) {
-	const version = 1<<termBits | 0
+	const version = 1 << termBits
 	tests := []struct {
 		name        string
 		incarnation uint64
--- a/soaker/checker/checker.go
+++ b/soaker/checker/checker.go
@@ -60,6 +60,7 @@
 	accepted uint64
 	changes  map[uint64]string
 	outcomes map[Outcome]int
+	limits   limits
 }
 
 type call struct {
@@ -73,7 +74,7 @@
 func New() *Checker {
 	return &Checker{
 		calls: make(map[string]*call), executions: make(map[string]int), started: make(map[string]bool), endless: make(map[string]bool), departures: make(map[string]time.Time),
-		changes: make(map[uint64]string), outcomes: make(map[Outcome]int),
+		changes: make(map[uint64]string), outcomes: make(map[Outcome]int), limits: limits{sentBy: make(map[string]string)},
 	}
 }
 
@@ -94,6 +95,7 @@
 	defer c.mu.Unlock()
 	c.executions[callID]++
 	c.started[requestID] = true
+	c.limits.runs = append(c.limits.runs, run{endpoint, requestID, now})
 	if departure, ok := c.departures[endpoint]; ok && now.Sub(departure) > grace {
 		c.addViolation("%s runs %s, %s after its departure was acknowledged", endpoint, callID, now.Sub(departure).Round(time.Millisecond))
 	}
@@ -210,6 +212,7 @@
 			c.addViolation("%s was refused as not run each of %d times, and has run", callID, record.requests)
 		}
 	}
+	c.checkLimits()
 	return slices.Clone(c.violations)
 }
 
--- a/soaker/planner/planner.go
+++ b/soaker/planner/planner.go
@@ -44,6 +44,8 @@
 	KindFail    Kind = "fail"
 	KindHalf    Kind = "half"
 	KindEndless Kind = "endless"
+	// KindLimit makes an endpoint name a limit for all entries together.
+	KindLimit Kind = "limit"
 )
 
 // Class names the type of a step's target.
@@ -65,6 +67,8 @@
 	Target int
 	// For is the duration of the fault, or how long the process is down.
 	For time.Duration
+	// Rate is the limit of a KindLimit, in requests per second.
+	Rate float64
 }
 
 // Size holds the number of targets of each class.
@@ -114,6 +118,32 @@
 	}
 }
 
+// Parameters of the limits.
+const (
+	minLimitTime = 4 * time.Second
+	maxLimitTime = 9 * time.Second
+)
+
+// limitRates are the limits that endpoints name, in requests per second.
+var limitRates = []float64{2.6, 5, 12}
+
+// Limits returns the steps at which endpoints name limits. They come from a random stream of their
+// own, so that a seed has the same plan otherwise.
+func Limits(seed uint64, size Size, length time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, limitStream))
+	var steps []Step
+	for at := randomDuration(rng, minGap, maxGap); at < length; at += randomDuration(rng, maxGap, 3*maxGap) {
+		steps = append(steps, Step{
+			At: at, Kind: KindLimit, Class: ClassEndpoint, Target: rng.IntN(size.Endpoints),
+			For: randomDuration(rng, minLimitTime, maxLimitTime), Rate: limitRates[rng.IntN(len(limitRates))],
+		})
+	}
+	return steps
+}
+
+// limitStream is the number of the random stream for limits.
+const limitStream = 3
+
 func randomStep(rng *rand.Rand, size Size) Step {
 	group := kindsByClass[rng.IntN(len(kindsByClass))]
 	return Step{
--- a/soaker/planner/planner_test.go
+++ b/soaker/planner/planner_test.go
@@ -41,3 +41,17 @@
 		}
 	}
 }
+
+// TestLimitsAreDeterministic also checks that limits leave the rest of the plan as it is.
+func TestLimitsAreDeterministic(t *testing.T) {
+	size := Size{Controls: 3, Entries: 2, Endpoints: 4}
+	limits := Limits(7, size, time.Minute)
+	assert.DeepEqual(t, limits, Limits(7, size, time.Minute))
+	assert.Assert(t, len(limits) > 10)
+	for _, s := range limits {
+		assert.Assert(t, s.Kind == KindLimit && s.Rate > 0 && s.Target < size.Endpoints)
+	}
+	for _, s := range Plan(7, size, time.Minute) {
+		assert.Assert(t, s.Kind != KindLimit)
+	}
+}
--- a/soaker/runner/caller.go
+++ b/soaker/runner/caller.go
@@ -117,12 +117,14 @@
 		return 0
 	}
 	sentAt := time.Now()
+	c.check.Sent(request.name, processID(h, conn.incarnation))
 	r, err := conn.exchange(k, request)
 	if err != nil {
 		_ = conn.netConn.Close() // already broken
 		delete(c.connections, h)
 		return c.classifyBroken(h, conn, request, sentAt, err)
 	}
+	c.check.PassedOn(time.Now(), request.name)
 	if r.closes {
 		_ = conn.netConn.Close() // requested by the entry
 		delete(c.connections, h)
--- a/soaker/runner/host.go
+++ b/soaker/runner/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -145,6 +146,11 @@
 	h.running = false
 }
 
+// processID identifies one process of a host.
+func processID(h *host, incarnation int) string {
+	return fmt.Sprintf("%s/%d", h.process.Name, incarnation)
+}
+
 // pause freezes the process for the given duration, possibly during a stop.
 func (h *host) pause(duration time.Duration) {
 	incarnation, running := h.state()
@@ -152,6 +158,8 @@
 		return
 	}
 	h.markInterrupted()
+	h.check.Excused(time.Now(), processID(h, incarnation))
+	defer func() { h.check.Excused(time.Now(), processID(h, incarnation)) }()
 	_ = h.process.Signal(syscall.SIGSTOP) // the process may have ended
 	time.Sleep(duration)
 	if now, _ := h.state(); now == incarnation {
--- a/soaker/runner/soak.go
+++ b/soaker/runner/soak.go
@@ -76,8 +76,9 @@
 	*responder.Responder
 	name  string
 	relay *relayer.Relay
-	// behaviourMu serialises temporary changes of behaviour.
+	// behaviourMu serialises temporary changes of behaviour, and limitMu limits.
 	behaviourMu sync.Mutex
+	limitMu     sync.Mutex
 }
 
 // Run carries out one soak.
@@ -97,14 +98,18 @@
 	var callers sync.WaitGroup
 	soak.startLoad(callCtx, &callers)
 	steps := planner.Plan(s.Seed, s.Size, s.Length)
+	limits := planner.Limits(s.Seed, s.Size, s.Length)
+	var limiting sync.WaitGroup
+	limiting.Go(func() { soak.runSteps(ctx, limits) })
 	soak.runSteps(ctx, steps)
+	limiting.Wait()
 	err := soak.awaitRecovery(ctx)
 	time.Sleep(stableTime)
 	stopCalls()
 	callers.Wait()
 	time.Sleep(settleTime)
 	soak.checkLogs()
-	return soak.report(len(steps)), err
+	return soak.report(len(steps) + len(limits)), err
 }
 
 func (s *Soak) report(steps int) Report {
--- a/soaker/runner/step.go
+++ b/soaker/runner/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -112,6 +113,10 @@
 }
 
 func (s *Soak) runEndpointStep(ctx context.Context, step planner.Step, e *endpoint) {
+	if step.Kind == planner.KindLimit {
+		s.nameLimit(ctx, step, e)
+		return
+	}
 	if applyLinkFault(step, e.relay) {
 		return
 	}
@@ -142,6 +147,17 @@
 	e.Set(ctx, responder.Default())
 }
 
+// nameLimit lets an endpoint name a limit for a time.
+func (s *Soak) nameLimit(ctx context.Context, step planner.Step, e *endpoint) {
+	e.limitMu.Lock()
+	defer e.limitMu.Unlock()
+	e.SetLimit(strconv.FormatFloat(step.Rate, 'f', -1, 64))
+	s.check.LimitNamed(time.Now(), e.name, step.Rate)
+	sleep(ctx, step.For)
+	s.check.LimitNamed(time.Now(), e.name, 0)
+	e.SetLimit("")
+}
+
 // wipe deletes the data of a replica, unless an earlier loss is not yet repaired: a group
 // that loses the data of a majority at once has lost its state.
 func (s *Soak) wipe(step planner.Step, h *host) error {
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -53,6 +53,7 @@
 type Responder struct {
 	settings    Settings
 	behaviour   atomic.Pointer[Behaviour]
+	limit       atomic.Pointer[string]
 	started     time.Time
 	incarnation uint64
 	listener    *listener
@@ -86,6 +87,7 @@
 		runs:        make(map[string]int),
 	}
 	r.behaviour.Store(&s.Behaviour)
+	r.SetLimit("")
 	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: announceTimeout, IdleTimeout: time.Minute}
 	return r, nil
 }
@@ -126,6 +128,9 @@
 	return r.announce(ctx, http.MethodPut)
 }
 
+// SetLimit lets responses name a limit, whatever the behaviour; an empty text names none.
+func (r *Responder) SetLimit(text string) { r.limit.Store(&text) }
+
 // SilenceConnections silences the open connections for good and returns their number.
 func (r *Responder) SilenceConnections() int { return r.listener.silenceAll() }
 
@@ -252,8 +257,8 @@
 	if !b.NoState {
 		value += ", state=" + r.state()
 	}
-	if b.Limit != "" {
-		value += ", limit=" + b.Limit
+	if limit := cmp.Or(*r.limit.Load(), b.Limit); limit != "" {
+		value += ", limit=" + limit
 	}
 	w.Header().Set("Endpoint-Load-Metrics", value)
 }
