Show limits in the status of replicas and in their metrics

On call: which limits are in force, since when, and how many permits went out: /comfreyplank/v1/status (limits, permits-issued), ctl status, comfreyplank_limits and comfreyplank_permits_issued_total. Check: make lint; go test of core, control, ctl.

--- a/bench/limit.go
+++ b/bench/limit.go
@@ -118,10 +118,7 @@
 }
 
 func (c *limitCommand) startEndpoints(ctx context.Context, group *sync.WaitGroup, s *stager.Stage) ([]limitedEndpoint, error) {
-	var entries []string
-	for _, e := range s.Entries {
-		entries = append(entries, e.Listen)
-	}
+	entries := listenAddresses(s.Entries)
 	endpoints := make([]limitedEndpoint, 0, c.Endpoints)
 	for i := range c.Endpoints {
 		e := limitedEndpoint{arrivals: &arrivals{}}
@@ -139,13 +136,17 @@
 	return endpoints, nil
 }
 
+func listenAddresses(processes []*stager.Process) []string {
+	addresses := make([]string, 0, len(processes))
+	for _, p := range processes {
+		addresses = append(addresses, p.Listen)
+	}
+	return addresses
+}
+
 // measure sends the load, lets the endpoints name their limits, and prints what they received.
 func (c *limitCommand) measure(s *stager.Stage, endpoints []limitedEndpoint) error {
-	var targets []string
-	for _, e := range s.Entries {
-		targets = append(targets, e.Listen)
-	}
-	plan := loader.Plan{Targets: targets, Path: "/rounds/limit", Rate: c.Rate, Duration: limitWarmup + c.Duration, Warmup: limitWarmup, Timeout: 10 * time.Second}
+	plan := loader.Plan{Targets: listenAddresses(s.Entries), Path: "/rounds/limit", Rate: c.Rate, Duration: limitWarmup + c.Duration, Warmup: limitWarmup, Timeout: 10 * time.Second}
 	var results *loader.Results
 	var load sync.WaitGroup
 	load.Go(func() { results = loader.New(plan).Run(c.ctx) })
--- a/control/counter/counter.go
+++ b/control/counter/counter.go
@@ -30,6 +30,19 @@
 	return c
 }
 
+// ObserveLimits registers metrics of the limits that the replica knows. The function returns their
+// number and how many permits were issued.
+func ObserveLimits(registry prometheus.Registerer, observe func() (limits int, issued uint64)) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "comfreyplank_limits", Help: "Limits that endpoints name for all entries together.",
+		}, func() float64 { limits, _ := observe(); return float64(limits) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "comfreyplank_permits_issued_total", Help: "Permits for endpoints with a limit, issued by this replica as the leader.",
+		}, func() float64 { _, issued := observe(); return float64(issued) }),
+	)
+}
+
 // Event counts an event of the given kind.
 func (c *Counter) Event(kind recorder.Kind) { c.events.WithLabelValues(string(kind)).Inc() }
 
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -463,6 +463,13 @@
 	return d.stateMachine.Status(time.Now())
 }
 
+// LimitTotals returns the number of limits that the replica knows and how many permits it has issued.
+func (d *Driver) LimitTotals() (limits int, issued uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stateMachine.LimitTotals()
+}
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (d *Driver) Document() (uint64, validator.Document) {
 	d.mu.Lock()
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -29,6 +29,22 @@
 	ClaimsLog LogStatus                `json:"claims-log"`
 	Entries   []EntryStatus            `json:"entries"`
 	Endpoints []registrar.Announcement `json:"endpoints"`
+	// Limits lists the limits that endpoints name, as this replica knows them.
+	Limits []LimitStatus `json:"limits,omitempty"`
+	// PermitsIssued is the number of permits issued by this process.
+	PermitsIssued uint64 `json:"permits-issued"`
+}
+
+// LimitStatus is the limit of an endpoint.
+type LimitStatus struct {
+	registrar.Name
+	PerSecond float64 `json:"per-second"`
+	Version   uint64  `json:"version"`
+	// AgeMs is how long the replica has known the limit.
+	AgeMs int64 `json:"age-ms"`
+	// Issued is the number of permits that the replica has issued since then. Only the leader
+	// issues any.
+	Issued uint64 `json:"issued"`
 }
 
 // LogStatus is the state of one replicated log.
@@ -75,6 +91,12 @@
 		ClaimsMembers:       c.claims.replica.Members(),
 		ClaimsLog:           c.logStatus(&c.claims),
 		Endpoints:           c.registry.List(""),
+		PermitsIssued:       c.permits.Issued(),
+	}
+	for _, l := range c.permits.Statuses() {
+		s.Limits = append(s.Limits, LimitStatus{
+			Name: l.Name, PerSecond: l.Limit.Rate, Version: l.Limit.Version, AgeMs: now.Sub(l.Since).Milliseconds(), Issued: l.Issued,
+		})
 	}
 	for _, e := range c.entries {
 		s.Entries = append(s.Entries, EntryStatus{
@@ -86,6 +108,11 @@
 	return s
 }
 
+// LimitTotals returns the number of limits that this replica knows and how many permits it has issued.
+func (c *Controller) LimitTotals() (limits int, issued uint64) {
+	return len(c.permits.Statuses()), c.permits.Issued()
+}
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (c *Controller) Document() (uint64, validator.Document) {
 	return c.committer.Revision(), c.committer.Document()
--- a/core/permitter/permitter.go
+++ b/core/permitter/permitter.go
@@ -40,8 +40,12 @@
 	EndpointLimit
 	// next is the time for which the next permit is issued, if it is not in the past.
 	next time.Time
+	// since is when this replica learned of the limit.
+	since time.Time
 	// usedAt is when an entry last referred to the limit.
 	usedAt time.Time
+	// issued is the number of permits that this replica has issued since it learned of the limit.
+	issued uint64
 }
 
 // Permitter holds the limits of all endpoints. It is not safe for concurrent use.
@@ -49,7 +53,8 @@
 	records map[registrar.Name]*record
 	// lastVersion is the highest version that was given or adopted.
 	lastVersion uint64
-	issued      uint64
+	// issued is the number of permits issued by this process.
+	issued uint64
 }
 
 // New returns a permitter that knows of no limit.
@@ -74,6 +79,7 @@
 	}
 	g := r.issue(now, v.Permits)
 	p.issued += uint64(g.Permits)
+	r.issued += uint64(g.Permits)
 	return g, changed
 }
 
@@ -104,6 +110,8 @@
 	}
 	p.lastVersion = max(p.lastVersion+1, term<<termBits)
 	r.Limit = throttler.Limit{Rate: v.Limit.Rate, Version: p.lastVersion}
+	r.since = now
+	r.issued = 0
 	if r.next.After(now) {
 		r.next = now // entries drop the permits of a higher limit; those of a lower one are too few
 	}
@@ -157,7 +165,7 @@
 		if known && r.Limit.Version >= l.Limit.Version {
 			continue
 		}
-		p.records[l.Name] = &record{EndpointLimit: l, usedAt: now}
+		p.records[l.Name] = &record{EndpointLimit: l, since: now, usedAt: now}
 		newer = append(newer, l)
 	}
 	if full {
@@ -189,6 +197,26 @@
 	return list
 }
 
+// Status is the state of one limit at this replica.
+type Status struct {
+	EndpointLimit
+	// Since is when the replica learned of the limit.
+	Since time.Time
+	// Issued is the number of permits that the replica has issued since.
+	Issued uint64
+}
+
+// Statuses returns the states of the limits that are named, ordered by name.
+func (p *Permitter) Statuses() []Status {
+	var list []Status
+	for _, l := range p.Limits() {
+		if r := p.records[l.Name]; l.Limit.Rate > 0 {
+			list = append(list, Status{EndpointLimit: l, Since: r.since, Issued: r.issued})
+		}
+	}
+	return list
+}
+
 // Find returns the limit of an endpoint.
 func (p *Permitter) Find(name registrar.Name) (EndpointLimit, bool) {
 	if r, ok := p.records[name]; ok {
--- a/ctl/output.go
+++ b/ctl/output.go
@@ -13,6 +13,7 @@
 	"comfreyplank.org/core/controller"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/ctl/client"
 )
@@ -54,9 +55,24 @@
 	for _, a := range currentEndpoints(statuses) {
 		row("%s\t%s\t%s\t%d\t%s\t%s\t%s", a.Service, a.Endpoint, a.State, a.Slots, a.DataCentre, a.Address, inFlight(statuses, a.Service, a.Endpoint))
 	}
+	showLimits(row, statuses)
 	_ = t.Flush() // standard output may be closed
 }
 
+// showLimits prints the limits that the leader knows, if there are any.
+func showLimits(row func(format string, args ...any), statuses []controller.Status) {
+	for _, s := range statuses {
+		if s.Role != replicator.RoleLeader.String() || !s.InContactWithQuorum || len(s.Limits) == 0 {
+			continue
+		}
+		row("\nSERVICE\tENDPOINT\tLIMIT PER SECOND\tSINCE\tPERMITS ISSUED")
+		for _, l := range s.Limits {
+			age := time.Duration(l.AgeMs) * time.Millisecond
+			row("%s\t%s\t%g\t%s ago\t%d", l.Service, l.Endpoint, l.PerSecond, age.Round(time.Second), l.Issued)
+		}
+	}
+}
+
 // currentEndpoints returns the endpoints known to a replica that is in contact with a quorum, or
 // to the first replica if there is none.
 func currentEndpoints(statuses []controller.Status) []registrar.Announcement {
