--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -381,11 +381,10 @@
 	if reason == ReasonLimit {
 		return b.permitRetryAfter(now, c)
 	}
-	remaining := c.Deadline.Sub(now)
-	if !c.sampled || remaining <= 0 {
+	maxDelay := c.Deadline.Sub(now) / retryAfterDivisor
+	if !c.sampled || maxDelay <= 0 {
 		return 0
 	}
-	maxDelay := remaining / retryAfterDivisor
 	slack := c.arrivedAt.Add(c.LatencyTarget).Sub(now) - scale(b.usualTime.of(c.LatencyTarget), workTimeMargin) - connectTime
 	if slack >= minRetryAfter {
 		return minRetryAfter + time.Duration(b.rand.Int64N(int64(min(maxDelay, slack))))
--- a/core/balancer/sampling_test.go
+++ b/core/balancer/sampling_test.go
@@ -192,3 +192,14 @@
 		assert.Equal(t, n, perSecond/10)
 	}
 }
+
+// TestRefusalJustBeforeTheDeadline guards against a panic: a third of the last two nanoseconds
+// before the deadline is no time to draw a random delay from.
+func TestRefusalJustBeforeTheDeadline(t *testing.T) {
+	for _, remaining := range []time.Duration{0, 1, 2, 3, 4} {
+		h := newSamplingHarness(t, 3)
+		c := &call{Call: Call{Deadline: h.now.Add(remaining), LatencyTarget: time.Second}, sampled: true, arrivedAt: h.now}
+		delay := h.retryAfter(h.now, c, ReasonOverload)
+		assert.Assert(t, delay >= 0 && delay <= minRetryAfter+remaining)
+	}
+}
