--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint unit demo long soak regress clean
+.PHONY: build test lint unit wire demo long soak regress clean
 
 # build compiles every program into bin/.
 build:
@@ -33,6 +33,16 @@
 	go test -race $(RANDOM_TESTS) $(if $(KNOWN_RED),-skip '$(KNOWN_RED_PATTERN)') -rapid.seed=20261204
 	go test -race $(OTHER_TESTS) -skip '^TestRandom$(if $(KNOWN_RED),|$(KNOWN_RED_PATTERN))'
 
+# wire generates the messages between processes.
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_GO_GRPC_VERSION := v1.6.2
+
+wire:
+	@mkdir -p $(TOOLS)
+	GOWORK=off GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOWORK=off GOBIN=$(TOOLS) go install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC_VERSION)
+	cd shell/encoder/wire && PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative wire.proto
+
 # demo runs the system on loopback and injects a few faults.
 demo: build
 	./bench/demo.sh
