--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -38,6 +38,7 @@
 	for _, name := range v.Removed {
 		delete(s.relayed, name)
 		delete(s.unlisted, name)
+		delete(s.limits, name)
 		changed = append(changed, name)
 	}
 	if v.Full {
@@ -117,6 +118,7 @@
 		}
 		delete(s.unlisted, name)
 		delete(s.relayed, name)
+		delete(s.limits, name)
 		dropped = append(dropped, name)
 	}
 	s.changeByService(now, dropped)
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -59,6 +59,7 @@
 	s.connecting = false
 	s.heartbeats = nil
 	s.permits.sent = nil
+	clear(s.permits.pending)
 }
 
 func (s *Subscriber) onClosed(now time.Time) {
