--- a/core/permitter/permitter_test.go
+++ b/core/permitter/permitter_test.go
@@ -134,3 +134,14 @@
 	g, changed := p.Handle(epoch.Add(time.Second), 1, name, 1, throttler.Request{Limit: throttler.Limit{Rate: 50, Version: g.Limit.Version}, Observed: true, Permits: 5})
 	assert.Assert(t, changed && g.Permits > 0)
 }
+
+// BenchmarkHandle measures the leader's work for one endpoint in a request.
+func BenchmarkHandle(b *testing.B) {
+	p := New()
+	p.Handle(epoch, 1, name, 1, observed(100, 0))
+	now := epoch
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		p.Handle(now, 1, name, 1, throttler.Request{Limit: throttler.Limit{Rate: 100}, Permits: 3})
+	}
+}
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -142,3 +142,21 @@
 	stamp := recorder.Stamp{Wall: 9, Count: 8}
 	assert.Equal(t, DecodeStamp(EncodeStamp(stamp)), stamp)
 }
+
+// BenchmarkPermitRequest measures the encoding and decoding of a request for ten endpoints.
+func BenchmarkPermitRequest(b *testing.B) {
+	request := messenger.PermitRequest{Sequence: 1}
+	for range 10 {
+		request.Demands = append(request.Demands, permitRequest.Demands[0])
+	}
+	for b.Loop() {
+		encoded, err := EncodeToControl(request)
+		assert.NilError(b, err)
+		data, err := proto.Marshal(encoded)
+		assert.NilError(b, err)
+		var received wire.FromEntry
+		assert.NilError(b, proto.Unmarshal(data, &received))
+		_, err = DecodeToControl(&received)
+		assert.NilError(b, err)
+	}
+}
