Keep the users' bound on limits in one place of bench and soak

The same constants and the same sliding window stood in bench limit and in the soak's checker. Making a stage with its folder stood twice in bench. No program of the product changes.

--- a/bench/limit.go
+++ b/bench/limit.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/bench/loader"
+	"comfreyplank.org/bench/rater"
 	"comfreyplank.org/bench/stager"
 	"comfreyplank.org/standin/responder"
 )
@@ -29,16 +30,8 @@
 	Duration  time.Duration   `long:"duration" default:"15s" description:"how long the limit is named"`
 }
 
-// The users' bound: from limitContact after the naming, at most limitFactor times what the limit
-// allows, and limitSlack, in limitWindow.
-const (
-	limitContact = 3 * time.Second
-	limitWindow  = 4 * time.Second
-	limitFactor  = 1.5
-	limitSlack   = 5
-	// limitWarmup is the time with calls before the limit is named.
-	limitWarmup = 3 * time.Second
-)
+// limitWarmup is the time with calls before the limit is named.
+const limitWarmup = 3 * time.Second
 
 // arrivals collects the times at which requests reach an endpoint. It is safe for concurrent use.
 type arrivals struct {
@@ -54,25 +47,15 @@
 	return len(line), nil
 }
 
-// after returns how many requests came after a time, and the largest number in any limitWindow
-// that ends limitContact after that time or later.
-func (a *arrivals) after(start time.Time) (total, worst int) {
+// after returns the times of the requests that came after a time.
+func (a *arrivals) after(start time.Time) []time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	first := 0
-	for last, at := range a.times {
-		for at.Sub(a.times[first]) >= limitWindow || a.times[first].Before(start) && first < last {
-			first++
-		}
-		if at.Before(start) {
-			continue
-		}
-		total++
-		if at.Sub(start) >= limitContact {
-			worst = max(worst, last-first+1)
-		}
+	first := slices.IndexFunc(a.times, func(at time.Time) bool { return !at.Before(start) })
+	if first < 0 {
+		return nil
 	}
-	return total, worst
+	return slices.Clone(a.times[first:])
 }
 
 // limitedEndpoint is a stand-in endpoint in this process.
@@ -86,16 +69,11 @@
 	if c.Limited > c.Endpoints {
 		return errors.Errorf("%d endpoints can't name a limit, there are %d", c.Limited, c.Endpoints)
 	}
-	work, err := os.MkdirTemp("", "comfreyplank")
-	if err != nil {
-		return errors.Wrap(err, "make folder")
-	}
-	defer func() { _ = os.RemoveAll(work) }()
-	s, err := stager.New(c.Bin, work, c.Replicas, c.Entries)
+	s, remove, err := newStage(c.Bin, c.Replicas, c.Entries)
 	if err != nil {
 		return err
 	}
-	defer s.Stop()
+	defer remove()
 	if err := s.Start(); err != nil {
 		return err
 	}
@@ -157,15 +135,16 @@
 	}
 	load.Wait()
 	printResults(results)
-	allowed := int(limitFactor*limitWindow.Seconds()*c.Limit + limitSlack)
+	allowed := rater.Allowed(c.Limit)
 	total, worst := 0, 0
 	for _, e := range endpoints[:c.Limited] {
-		n, most := e.arrivals.after(named)
-		total += n
-		worst = max(worst, most)
+		times := e.arrivals.after(named)
+		total += len(times)
+		_, busiest := rater.Busiest(times, named)
+		worst = max(worst, busiest)
 	}
 	fmt.Printf("%d endpoints name %v requests a second: %.2f a second each, at most %d in %s (allowed %d)\n",
-		c.Limited, c.Limit, float64(total)/c.Duration.Seconds()/float64(c.Limited), worst, limitWindow, allowed)
+		c.Limited, c.Limit, float64(total)/c.Duration.Seconds()/float64(c.Limited), worst, rater.Window, allowed)
 	if worst > allowed {
 		return errBoundExceeded
 	}
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -42,18 +42,31 @@
 	firstEndpoint = "127.0.0.1:20000"
 )
 
-// Execute implements flags.Commander.
-func (c *controlCommand) Execute([]string) error {
+// newStage returns a stage whose files are in a new folder, and a function that ends its processes and
+// removes the folder.
+func newStage(bin string, replicas, entries int) (s *stager.Stage, remove func(), err error) {
 	work, err := os.MkdirTemp("", "comfreyplank")
 	if err != nil {
-		return errors.Wrap(err, "make folder")
+		return nil, nil, errors.Wrap(err, "make folder")
+	}
+	s, err = stager.New(bin, work, replicas, entries)
+	if err != nil {
+		_ = os.RemoveAll(work) // it is empty
+		return nil, nil, err
 	}
-	defer func() { _ = os.RemoveAll(work) }()
-	s, err := stager.New(c.Bin, work, c.Replicas, c.Entries)
+	return s, func() {
+		s.Stop()
+		_ = os.RemoveAll(work) // leftover temporary files do no harm
+	}, nil
+}
+
+// Execute implements flags.Commander.
+func (c *controlCommand) Execute([]string) error {
+	s, remove, err := newStage(c.Bin, c.Replicas, c.Entries)
 	if err != nil {
 		return err
 	}
-	defer s.Stop()
+	defer remove()
 	if err := s.AddStandin("rounds", "--first", firstEndpoint, "--count", strconv.Itoa(c.Endpoints), "--service-ms", "2", "--slots", "50"); err != nil {
 		return err
 	}
--- a/core/controller/limit_random_test.go
+++ b/core/controller/limit_random_test.go
@@ -161,7 +161,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			h := &limitHistory{simulation: startLimited(t, 17, 4, 1)}
 			load := traffic{60, throughAll}
-			h.name(0.5, 1)
+			h.nameLimit(0.5, 1)
 			h.runTraffic(5*time.Second, load)
 			tt.replace(h)
 			h.runTraffic(12*time.Second, load) // longer than endpoints warm up
--- a/core/controller/limit_test.go
+++ b/core/controller/limit_test.go
@@ -47,7 +47,7 @@
 	rate    float64
 }
 
-// told returns the limit that the entry had last passed on by a time.
+// toldBy returns the limit that the entry had last passed on by a time.
 func (e *simEntry) toldBy(at time.Time, backend string) float64 {
 	rate := 0.0
 	for _, r := range e.told {
@@ -218,8 +218,8 @@
 	return s
 }
 
-// name lets the first backends name a limit from now on.
-func (s *simulation) name(rate float64, backends int) {
+// nameLimit lets the first backends name a limit from now on.
+func (s *simulation) nameLimit(rate float64, backends int) {
 	for _, b := range s.backends[:backends] {
 		b.limits = append(b.limits, limitChange{s.now, rate})
 	}
@@ -252,7 +252,7 @@
 			s := startLimited(t, tt.entries, tt.backends, 1, tt.opts...)
 			load := traffic{tt.perSecond, tt.pick}
 			s.runTraffic(3*time.Second, load)
-			s.name(2.6, 1)
+			s.nameLimit(2.6, 1)
 			s.runTraffic(12*time.Second, load)
 			s.checkLimit(s.backends[0])
 		})
@@ -288,7 +288,7 @@
 				s := startLimited(t, tt.entries, backends, 1, opts...)
 				load := traffic{tt.perSecond, tt.pick}
 				s.runTraffic(2*time.Second, load)
-				s.name(tt.rate, tt.limited)
+				s.nameLimit(tt.rate, tt.limited)
 				s.runTraffic(4*time.Second, load)
 				calls, served := s.lastCall, s.responses
 				s.runTraffic(20*time.Second, load)
@@ -325,14 +325,14 @@
 			load := traffic{104, throughAll}
 			s.runTraffic(5*time.Second, load)
 			if !tt.stopFirst {
-				s.name(tt.rate, backends)
+				s.nameLimit(tt.rate, backends)
 				s.runTraffic(3*time.Second, load)
 			}
 			for _, c := range s.replicas {
 				s.crash(c)
 			}
 			if tt.stopFirst {
-				s.name(tt.rate, backends)
+				s.nameLimit(tt.rate, backends)
 			}
 			s.runTraffic(8*time.Second, load)
 			served := s.responses
@@ -354,7 +354,7 @@
 	load := traffic{200, throughAll}
 	s.runTraffic(2*time.Second, load)
 	assert.Equal(t, s.permitMessages, 0, "no limit is named")
-	s.name(2, backends)
+	s.nameLimit(2, backends)
 	s.runTraffic(2*time.Second, load)
 	s.permitMessages, s.limitMessages = 0, 0
 	const seconds = 10
@@ -376,7 +376,7 @@
 	s := startLimited(t, 100, 13, 1, sampling)
 	load := traffic{200, throughAll}
 	s.runTraffic(2*time.Second, load)
-	s.name(2.6, 1)
+	s.nameLimit(2.6, 1)
 	s.runTraffic(time.Second, load)
 	for _, e := range s.entries[:50] {
 		s.crashEntry(e)
--- a/soaker/checker/limit.go
+++ b/soaker/checker/limit.go
@@ -1,19 +1,15 @@
 package checker
 
-import "time"
-
-// The bound on the requests of an endpoint that names a limit: from limitContact after it first
-// named the limit, no more than limitFactor times what that allows and limitSlack in limitWindow,
-// from entries that passed such a response on learnTime before or earlier. A freeze excuses an
-// entry for the time of limitContact.
-const (
-	limitContact = 3 * time.Second
-	limitWindow  = 4 * time.Second
-	limitFactor  = 1.5
-	limitSlack   = 5
-	learnTime    = 500 * time.Millisecond
+import (
+	"time"
+
+	"comfreyplank.org/bench/rater"
 )
 
+// learnTime is the time after which an entry that has passed on a response with a limit must keep it.
+// A freeze excuses an entry for rater.Contact.
+const learnTime = 500 * time.Millisecond
+
 // limits holds the observations about the limits of endpoints.
 type limits struct {
 	named []namedLimit
@@ -105,7 +101,7 @@
 
 func (l *limits) isExcused(entry string, at time.Time) bool {
 	for _, e := range l.excused {
-		if e.entry == entry && at.Sub(e.at).Abs() <= limitContact {
+		if e.entry == entry && at.Sub(e.at).Abs() <= rater.Contact {
 			return true
 		}
 	}
@@ -132,18 +128,10 @@
 // checkLimits adds a violation for each limit that was exceeded.
 func (c *Checker) checkLimits() {
 	for _, limit := range c.limits.named {
-		times := c.limits.counted(limit)
-		allowed := limitFactor*limitWindow.Seconds()*limit.rate + limitSlack
-		start := 0
-		for end := range times {
-			for times[end].Sub(times[start]) >= limitWindow {
-				start++
-			}
-			if n := end - start + 1; float64(n) > allowed && times[end].Sub(limit.from) >= limitContact {
-				c.addViolation("%s got %d requests in %s until %s after it named a limit of %v a second, allowed %.1f",
-					limit.endpoint, n, limitWindow, times[end].Sub(limit.from).Round(time.Millisecond), limit.rate, allowed)
-				break
-			}
+		end, requests := rater.Busiest(c.limits.counted(limit), limit.from)
+		if allowed := rater.Allowed(limit.rate); requests > allowed {
+			c.addViolation("%s got %d requests in %s until %s after it named a limit of %v a second, allowed %d",
+				limit.endpoint, requests, rater.Window, end.Sub(limit.from).Round(time.Millisecond), limit.rate, allowed)
 		}
 	}
 }
--- a/soaker/checker/limit_test.go
+++ b/soaker/checker/limit_test.go
@@ -11,7 +11,6 @@
 // TestExceededLimitIsFound checks that the soak counts what the bound counts, and nothing else.
 func TestExceededLimitIsFound(t *testing.T) {
 	const rate = 2.0
-	const allowed = 17 // 1.5 times 4 s times the rate, and 5
 	tests := []struct {
 		name string
 		// entry returns the entry that a request is sent to.
@@ -49,5 +48,4 @@
 			assert.Equal(t, len(c.Finish()), tt.want)
 		})
 	}
-	assert.Equal(t, allowed, int(limitFactor*limitWindow.Seconds()*rate+limitSlack))
 }
