--- a/bench/limit.go
+++ b/bench/limit.go
@@ -124,7 +124,7 @@
 
 // measure sends the load, lets the endpoints name their limits, and prints what they received.
 func (c *limitCommand) measure(s *stager.Stage, endpoints []limitedEndpoint) error {
-	plan := loader.Plan{Targets: listenAddresses(s.Entries), Path: "/rounds/limit", Rate: c.Rate, Duration: limitWarmup + c.Duration, Warmup: limitWarmup, Timeout: 10 * time.Second}
+	plan := loader.Plan{Targets: listenAddresses(s.Entries), Path: "/rounds/limit", Rate: c.Rate, Duration: c.Duration, Warmup: limitWarmup, Timeout: 10 * time.Second}
 	var results *loader.Results
 	var load sync.WaitGroup
 	load.Go(func() { results = loader.New(plan).Run(c.ctx) })
