--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -25,6 +25,7 @@
 	KindAttemptHedged        Kind = "attempt-hedged"
 	KindCallRefused          Kind = "call-refused"
 	KindCallUnknown          Kind = "call-unknown"
+	KindBodyCut              Kind = "request-body-cut"
 	KindConfigLeaseChanged   Kind = "standing-changed"
 	KindConfigApplied        Kind = "configuration-taken-up"
 	KindConfigAccepted       Kind = "configuration-accepted"
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/claimer"
@@ -79,7 +81,7 @@
 		w.Header()["Content-Type"] = nil // keeps the server from guessing
 	}
 	if t.response.Complete {
-		s.writeComplete(w, r, t.response)
+		s.writeComplete(w, r, t)
 		return
 	}
 	s.streamBody(w, r, t)
@@ -91,7 +93,8 @@
 	}
 }
 
-func (s *serviceDispatcher) writeComplete(w http.ResponseWriter, r *http.Request, response *forwarder.Response) {
+func (s *serviceDispatcher) writeComplete(w http.ResponseWriter, r *http.Request, t *attempt) {
+	response := t.response
 	chunked := len(response.HTTP.Trailer) > 0
 	if r.Method != http.MethodHead && !chunked && bodyAllowed(response.HTTP.StatusCode) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response.Prefix)))
@@ -101,9 +104,35 @@
 		_ = http.NewResponseController(w).Flush() // trailers need a chunked body
 	}
 	_, _ = s.deps.Outbound.Writer(r.Context(), w).Write(response.Prefix) // nothing can be reported to a disconnected caller
+	s.awaitSending(w, t)
+	t.ending = balancer.EndingComplete
+	close(t.bodyDone)
 	writeTrailers(w, response.HTTP)
 }
 
+// maxSendingAfterStream is how long the end of a response of unknown length may be held back while the
+// rest of the request's body is sent: the caller learns of that end only as the handler returns.
+const maxSendingAfterStream = 250 * time.Millisecond
+
+// awaitSending passes the response to the caller, and then lets the rest of the request's body reach
+// the endpoint, until the attempt ends.
+func (s *serviceDispatcher) awaitSending(w http.ResponseWriter, t *attempt) {
+	sending := t.response.Sending()
+	if sending == nil {
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // nothing can be reported to a disconnected caller
+	ctx, cancel := t.ctx, context.CancelFunc(func() {})
+	if w.Header().Get("Content-Length") == "" {
+		ctx, cancel = context.WithTimeout(ctx, maxSendingAfterStream)
+	}
+	defer cancel()
+	select {
+	case <-sending:
+	case <-ctx.Done():
+	}
+}
+
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -120,6 +149,9 @@
 	httpResponse := t.response.HTTP
 	w.WriteHeader(httpResponse.StatusCode)
 	t.ending = copyBody(w, s.deps.Outbound.Writer(r.Context(), w), t.response)
+	if t.ending == balancer.EndingComplete {
+		s.awaitSending(w, t)
+	}
 	close(t.bodyDone)
 	if t.ending != balancer.EndingComplete {
 		panic(http.ErrAbortHandler)
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/forwarder"
 	"comfreyplank.org/entry/keeper"
+	"comfreyplank.org/entry/receiver"
 	"comfreyplank.org/entry/translator"
 )
 
@@ -43,8 +44,10 @@
 
 // Dispatcher holds a serviceDispatcher for each service.
 type Dispatcher struct {
-	incarnation  string
-	deps         Dependencies
+	incarnation string
+	deps        Dependencies
+	// handler serves requests whose bodies have an owner.
+	handler      http.Handler
 	activeConfig atomic.Pointer[activeConfig]
 	// started is when the process started. configured is closed when the first document is
 	// applied.
@@ -69,6 +72,7 @@
 func New(incarnation string, deps Dependencies) *Dispatcher {
 	d := &Dispatcher{incarnation: incarnation, deps: deps.withDefaults(), dispatchers: make(map[string]*serviceDispatcher), configured: make(chan struct{})}
 	d.started = d.deps.Now()
+	d.handler = receiver.Handler(http.HandlerFunc(d.serveRequest))
 	return d
 }
 
@@ -185,6 +189,10 @@
 
 // ServeHTTP serves a caller's request.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.handler.ServeHTTP(w, r)
+}
+
+func (d *Dispatcher) serveRequest(w http.ResponseWriter, r *http.Request) {
 	parsed, err := d.deps.Callers.ParseRequest(r.Header)
 	if parsed.ID == "" {
 		parsed.ID = uuid.NewString()
@@ -225,11 +233,13 @@
 		return http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header is limited to %d bytes", limits.MaxHeaderBytes)
 	}
 	if limits.MaxBodyBytes > 0 && r.ContentLength > int64(limits.MaxBodyBytes) {
-		return http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is limited to %d bytes", limits.MaxBodyBytes)
+		return http.StatusRequestEntityTooLarge, bodyLimitDetail(limits.MaxBodyBytes)
 	}
 	return 0, ""
 }
 
+func bodyLimitDetail(bytes int) string { return fmt.Sprintf("the body is limited to %d bytes", bytes) }
+
 func (d *Dispatcher) refuse(w http.ResponseWriter, id string, status int, detail string) {
 	d.deps.Publish(recorder.Event{Kind: recorder.KindCallRefused, Request: id, Detail: fmt.Sprintf("status %d: %s", status, detail)})
 	d.deps.Callers.Refuse(w, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail, Request: id})
@@ -248,12 +258,15 @@
 		AttemptLimit:  match.Route.Attempts,
 		LatencyTarget: time.Duration(match.Route.LatencyTargetMs) * time.Millisecond,
 	}
-	request, problem := d.readWithinDeadline(w, r, &call)
+	request, problem := d.readWithinDeadline(r, &call)
 	if problem != nil {
 		problem.Request = parsed.ID
 		d.deps.Callers.Refuse(w, *problem)
 		return
 	}
+	if request.Stream != nil {
+		defer d.recordCutBody(request.Stream, service, parsed.ID)
+	}
 	pending := &pendingCall{request: request, arrivedAt: arrivedAt, result: make(chan callResult, 1)}
 	call.ID = s.addCall(call, pending)
 	defer s.removeCall(call.ID)
@@ -266,6 +279,20 @@
 	}
 }
 
+// recordCutBody records that the endpoint has not got the whole body of a request: the caller sent no more
+// of it, or it was still under way when the request ended.
+func (d *Dispatcher) recordCutBody(body *receiver.Body, service, request string) {
+	err := body.Err()
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	detail := "the request ended first"
+	if err != nil {
+		detail = err.Error()
+	}
+	d.deps.Publish(recorder.Event{Kind: recorder.KindBodyCut, Service: service, Request: request, Detail: detail})
+}
+
 func (s *serviceDispatcher) removeCall(id balancer.CallID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -294,22 +321,25 @@
 }
 
 // readWithinDeadline reads a request, and requires that its body arrive by the call's deadline.
-func (d *Dispatcher) readWithinDeadline(w http.ResponseWriter, r *http.Request, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
-	if r.Body == http.NoBody {
-		return d.readRequest(r, call)
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(call.Deadline)                  // without support for deadlines, reading just waits
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }() // as above
-	if limit := d.activeConfig.Load().limits.MaxBodyBytes; limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, int64(limit))
-	}
-	return d.readRequest(r, call)
+func (d *Dispatcher) readWithinDeadline(r *http.Request, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
+	body := receiver.BodyOf(r)
+	if body == nil {
+		return d.readRequest(r, nil, call)
+	}
+	limit := d.activeConfig.Load().limits.MaxBodyBytes
+	body.Limit(int64(limit))
+	body.SetDeadline(call.Deadline)
+	defer body.SetDeadline(time.Time{})
+	request, problem := d.readRequest(r, body, call)
+	if errors.Is(body.Err(), receiver.ErrTooLarge) {
+		return request, notRunRefusal(http.StatusRequestEntityTooLarge, bodyLimitDetail(limit))
+	}
+	return request, problem
 }
 
 // readRequest reads what the attempts will send. A body too large to be kept can be sent only
-// once.
-func (d *Dispatcher) readRequest(r *http.Request, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
+// once. The body is nil if the request has none.
+func (d *Dispatcher) readRequest(r *http.Request, rest *receiver.Body, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
 	limit := maxRetryBodyBytes
 	if call.Execution == router.OnceOnly {
 		limit = maxOnceOnlyBodyBytes
@@ -330,7 +360,7 @@
 		return forwarder.Request{}, notRunRefusal(http.StatusRequestEntityTooLarge, "the body of a once-only request is limited to 1 MiB")
 	}
 	call.Streamed = true
-	request.Stream = r.Body
+	request.Stream = rest
 	request.ContentLength = r.ContentLength
 	return request, nil
 }
@@ -339,14 +369,9 @@
 	return &translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail}
 }
 
-// bodyRefusal returns the refusal for a body that could not be read: too large, too slow or
-// invalid.
+// bodyRefusal returns the refusal for a body that could not be read: too slow or invalid.
 func bodyRefusal(err error) *translator.Refusal {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return notRunRefusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is limited to %d bytes", tooLarge.Limit))
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return notRunRefusal(http.StatusRequestTimeout, "the body did not come in time")
 	}
 	return notRunRefusal(http.StatusBadRequest, "the body could not be read")
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -23,6 +23,7 @@
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
+	"comfreyplank.org/entry/keeper"
 )
 
 type noCounter struct{}
@@ -39,14 +40,14 @@
 // fixture is a dispatcher with real connections to test endpoints, and a claims log in memory.
 type fixture struct {
 	*Dispatcher
-	t       *testing.T
+	t       testing.TB
 	server  *httptest.Server
 	group   sync.WaitGroup
 	mu      sync.Mutex
 	claimer *claimer.Claimer
 }
 
-func newFixture(t *testing.T, endpoints ...string) *fixture {
+func newFixture(t testing.TB, endpoints ...string) *fixture {
 	f := &fixture{t: t, claimer: claimer.New()}
 	f.Dispatcher = New("entry", Dependencies{
 		Now: time.Now, Start: f.group.Go, Publish: func(recorder.Event) {}, Claim: f.claim, Counter: noCounter{},
@@ -58,7 +59,7 @@
 	f.Configure(validator.Document{Services: []validator.Service{service}})
 	f.RenewConfigLease(time.Now().Add(time.Hour), 1)
 	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: endpointsAt(endpoints), Entries: 1})
-	f.server = httptest.NewServer(f.Dispatcher)
+	f.server = startServer(f.Dispatcher)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.group.Go(func() { f.Run(ctx) })
 	t.Cleanup(func() {
@@ -69,6 +70,16 @@
 	return f
 }
 
+// startServer serves callers as the entry does.
+func startServer(d *Dispatcher) *httptest.Server {
+	k := keeper.New(d.Timeouts)
+	server := httptest.NewUnstartedServer(k.Handler(d))
+	server.Listener = k.Listener(server.Listener)
+	k.Configure(server.Config)
+	server.Start()
+	return server
+}
+
 // endpointsAt returns one endpoint of the service for each address.
 func endpointsAt(addresses []string) []balancer.Endpoint {
 	list := make([]balancer.Endpoint, 0, len(addresses))
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -85,11 +85,13 @@
 
 // attempt is one sending of a request to an endpoint.
 type attempt struct {
-	id       balancer.AttemptID
+	id balancer.AttemptID
+	// ctx ends with the attempt, at its deadline at the latest.
+	ctx      context.Context //nolint:containedctx // see above
 	cancel   context.CancelFunc
 	response *forwarder.Response
-	// bodyDone is closed once a handler has passed the body on; ending may be read only after
-	// that.
+	// bodyDone is closed once a handler has passed the body on, and as much of the request's body as
+	// the endpoint gets; ending may be read only after that.
 	bodyDone chan struct{}
 	ending   balancer.Ending
 }
@@ -244,43 +246,46 @@
 		return
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), d.Deadline)
-	t := &attempt{id: d.Attempt, cancel: cancel, bodyDone: make(chan struct{})}
+	t := &attempt{id: d.Attempt, ctx: ctx, cancel: cancel, bodyDone: make(chan struct{})}
 	s.attempts[d.Attempt] = t
 	s.addresses[d.Endpoint] = d.Address
 	s.deps.Counter.Attempt(s.service, d.Number)
 	request := pending.request
-	s.deps.Start(func() { s.runAttempt(ctx, t, d, request) })
+	s.deps.Start(func() { s.runAttempt(t, d, request) })
 }
 
 // runAttempt runs one attempt from its dispatch to its end.
-func (s *serviceDispatcher) runAttempt(ctx context.Context, t *attempt, d balancer.Dispatch, request forwarder.Request) {
+func (s *serviceDispatcher) runAttempt(t *attempt, d balancer.Dispatch, request forwarder.Request) {
 	defer t.cancel()
-	response, ending := s.forwarder.Send(ctx, d, request)
+	response, ending := s.forwarder.Send(t.ctx, d, request)
 	s.countLimit(loadReport(response))
 	if ending != balancer.EndingComplete {
 		s.endAttempt(t, ending, loadReport(response))
 		return
 	}
 	t.response = response
-	if response.Complete {
+	finished := response.Complete && response.Sending() == nil
+	if finished {
 		s.forwarder.Finish(response, true)
 	}
 	s.handle(balancer.ResponseStarted{Attempt: t.id, Status: response.HTTP.StatusCode, Report: response.Report, StoredResponse: storableResponse(response)})
-	if response.Complete {
+	if finished {
 		s.endAttempt(t, balancer.EndingComplete, balancer.NoReport)
 		return
 	}
-	s.awaitBody(ctx, t)
+	s.awaitBody(t)
 }
 
-// awaitBody waits until a handler has passed the rest of the body on, or until the attempt's
-// context ends.
-func (s *serviceDispatcher) awaitBody(ctx context.Context, t *attempt) {
+// awaitBody waits until a handler has passed the body on, or until the attempt's context ends.
+func (s *serviceDispatcher) awaitBody(t *attempt) {
 	ending := balancer.EndingCancelled
+	if t.response.Complete {
+		ending = balancer.EndingComplete
+	}
 	select {
 	case <-t.bodyDone:
 		ending = t.ending
-	case <-ctx.Done():
+	case <-t.ctx.Done():
 	}
 	s.forwarder.Finish(t.response, ending == balancer.EndingComplete)
 	s.endAttempt(t, ending, balancer.NoReport)
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"comfreyplank.org/entry/receiver"
 )
 
 const (
@@ -156,31 +158,56 @@
 	return err == nil && noData
 }
 
-// roundTrip writes a request and reads the head of the response.
-func (c *connection) roundTrip(request *http.Request, streamed bool) (*http.Response, []Informational, error) {
-	if streamed {
-		// The endpoint may respond before it has read the whole body.
-		sent := make(chan error, 1)
-		c.group.Go(func() { sent <- c.send(request) })
-		response, informational, err := c.receive(request)
-		if err == nil {
-			markUnfinished(sent, response)
-		}
-		return response, informational, err
-	}
-	if err := c.send(request); err != nil {
-		return nil, nil, err
-	}
-	return c.receive(request)
+// sending is the forwarding of a request whose body is streamed. It may go on after the response has
+// begun.
+type sending struct {
+	// done is closed once nothing more is sent.
+	done chan struct{}
+	// err is why not the whole request was sent; it may be read once done is closed.
+	err error
 }
 
-// markUnfinished marks the connection as not reusable unless the whole request has been sent.
-func markUnfinished(sent chan error, response *http.Response) {
+// complete reports whether the whole request has been sent.
+func (s *sending) complete() bool {
 	select {
-	case err := <-sent:
-		response.Close = response.Close || err != nil
+	case <-s.done:
+		return s.err == nil
 	default:
-		response.Close = true
+		return false
+	}
+}
+
+// roundTrip writes a request and reads the head of the response. Where the rest of the request's
+// body is streamed, it is sent from a goroutine of its own, as the endpoint may respond before it has read
+// the whole body.
+func (c *connection) roundTrip(request *http.Request, rest *receiver.Transfer) (*http.Response, []Informational, *sending, error) {
+	var streamed *sending
+	if rest != nil {
+		streamed = c.startSending(request, rest)
+	} else if err := c.send(request); err != nil {
+		return nil, nil, nil, err
+	}
+	response, informational, err := c.receive(request)
+	return response, informational, streamed, err
+}
+
+// startSending sends a request with a streamed body. If the body breaks off, the sending side of the
+// connection is closed, so that the endpoint can't take the request for complete.
+func (c *connection) startSending(request *http.Request, rest *receiver.Transfer) *sending {
+	s := &sending{done: make(chan struct{})}
+	c.group.Go(func() {
+		defer close(s.done)
+		s.err = c.send(request)
+		if s.err != nil && rest.Err() != nil {
+			c.closeWrite()
+		}
+	})
+	return s
+}
+
+func (c *connection) closeWrite() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // fails only if the connection has ended
 	}
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/entry/pacer"
+	"comfreyplank.org/entry/receiver"
 	"comfreyplank.org/entry/translator"
 )
 
@@ -37,6 +38,9 @@
 
 	pool       *pool
 	connection *connection
+	// sending is the forwarding of a streamed request body; nil if the request was sent before
+	// the response was read.
+	sending *sending
 	// stopInterrupt detaches the connection from the attempt's context, and reports whether the
 	// connection was not interrupted.
 	stopInterrupt func() bool
@@ -55,8 +59,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Stream is the rest of a body too large to be kept; it can be read only once.
-	Stream        io.Reader
+	// Stream is the rest of a body too large to be kept; it can be sent only once.
+	Stream        *receiver.Body
 	ContentLength int64
 }
 
@@ -197,25 +201,29 @@
 }
 
 func (f *Forwarder) sendOn(ctx context.Context, p *pool, c *connection, d balancer.Dispatch, r Request) (*Response, error) {
-	request, err := f.buildRequest(ctx, d, r)
+	var rest *receiver.Transfer
+	if r.Stream != nil {
+		rest = r.Stream.Transfer()
+	}
+	request, err := f.buildRequest(ctx, d, r, rest)
 	if err != nil {
 		return nil, err
 	}
-	return f.exchange(ctx, p, c, request, r.Stream != nil)
+	return f.exchange(ctx, p, c, request, rest)
 }
 
 // exchange sends a request over a connection and reads its response, up to the number of bytes
-// that are buffered.
-func (f *Forwarder) exchange(ctx context.Context, p *pool, c *connection, request *http.Request, streamed bool) (*Response, error) {
+// that are buffered. The rest of the request's body is nil unless the body is streamed.
+func (f *Forwarder) exchange(ctx context.Context, p *pool, c *connection, request *http.Request, rest *receiver.Transfer) (*Response, error) {
 	stopInterrupt := c.interruptOnDone(ctx)
-	response, informational, err := c.roundTrip(request, streamed) //nolint:bodyclose // Finish ends it with the connection
+	response, informational, sending, err := c.roundTrip(request, rest) //nolint:bodyclose // Finish ends it with the connection
 	if err != nil {
 		stopInterrupt()
 		return nil, err
 	}
 	answer := &Response{
 		HTTP: response, Informational: informational, Report: f.protocol.Report(response.Header),
-		pool: p, connection: c, stopInterrupt: stopInterrupt,
+		pool: p, connection: c, sending: sending, stopInterrupt: stopInterrupt,
 	}
 	response.Body = f.inbound.Body(ctx, response.Body)
 	answer.Prefix, answer.Complete, err = readAhead(response.Body, response.ContentLength)
@@ -237,11 +245,21 @@
 	return buffer.Bytes(), n <= MaxBufferedBytes, nil
 }
 
-// Finish returns the response's connection to its pool, or closes it if the body was not read
-// completely.
+// Sending returns a channel that is closed once nothing more of the request is sent. It returns nil
+// if the request was sent before its response.
+func (a *Response) Sending() <-chan struct{} {
+	if a.sending == nil {
+		return nil
+	}
+	return a.sending.done
+}
+
+// Finish returns the response's connection to its pool, or closes it unless the whole request was
+// sent and the whole body read.
 func (f *Forwarder) Finish(a *Response, complete bool) {
 	uninterrupted := a.stopInterrupt()
-	if !complete || !uninterrupted || a.HTTP.Close {
+	sent := a.sending == nil || a.sending.complete()
+	if !complete || !sent || !uninterrupted || a.HTTP.Close {
 		a.pool.discard(a.connection)
 		return
 	}
@@ -250,8 +268,8 @@
 }
 
 // buildRequest returns the HTTP request for one attempt.
-func (f *Forwarder) buildRequest(ctx context.Context, d balancer.Dispatch, r Request) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+d.Address+r.URI, r.bodyReader())
+func (f *Forwarder) buildRequest(ctx context.Context, d balancer.Dispatch, r Request, rest *receiver.Transfer) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+d.Address+r.URI, r.bodyReader(rest))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
@@ -263,10 +281,10 @@
 	return request, nil
 }
 
-func (r Request) bodyReader() io.Reader {
+func (r Request) bodyReader(rest *receiver.Transfer) io.Reader {
 	switch {
-	case r.Stream != nil:
-		return io.MultiReader(bytes.NewReader(r.Body), r.Stream)
+	case rest != nil:
+		return io.MultiReader(bytes.NewReader(r.Body), rest)
 	case len(r.Body) == 0:
 		return nil
 	}
@@ -285,7 +303,7 @@
 		p.discard(c)
 		return balancer.NoReport, balancer.EndingNotSent
 	}
-	answer, err := f.exchange(ctx, p, c, request, false)
+	answer, err := f.exchange(ctx, p, c, request, nil)
 	if err != nil {
 		p.discard(c)
 		return balancer.NoReport, balancer.EndingLost
--- a/entry/keeper/keeper.go
+++ b/entry/keeper/keeper.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -39,14 +40,15 @@
 // Keeper tracks the connections of one server.
 type Keeper struct {
 	timeouts func() Timeouts
-	// serving counts the requests that handlers serve; none of them is on a closed connection.
+	// serving counts the requests that handlers serve, none of which is on a closed connection,
+	// and the connections that linger after their last response.
 	serving atomic.Int64
 }
 
 // New returns a keeper without connections. The timeouts function returns those in effect.
 func New(timeouts func() Timeouts) *Keeper { return &Keeper{timeouts: timeouts} }
 
-// Serving returns how many requests are being served. The server itself may not know of all of
+// Serving returns how many requests are being served or have a response under way. The server itself may not know of all of
 // them once it shuts down.
 func (k *Keeper) Serving() int { return int(k.serving.Load()) }
 
@@ -106,6 +108,48 @@
 	// serving is set while a handler serves a request; it is never set once closed is.
 	serving bool
 	closed  bool
+	// abandoned is set once the rest of the request in progress is not read any more; there is
+	// no further request.
+	abandoned bool
+}
+
+// Abandon ends the reading of a request, whose caller has not sent all of it: a pending read is
+// interrupted, and the connection is closed after the response. It reports false if the context is not
+// that of a request on a keeper's connection.
+func Abandon(ctx context.Context) bool {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	if ok {
+		c.abandon()
+	}
+	return ok
+}
+
+func (c *connection) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandoned = true
+	_ = c.Conn.SetReadDeadline(pastDeadline) // on a closed connection no read is pending
+}
+
+// pastDeadline lies in the past: setting it interrupts pending reads.
+var pastDeadline = time.Unix(1, 0)
+
+func (c *connection) isAbandoned() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandoned
+}
+
+// Read implements net.Conn. An abandoned connection looks closed by the caller.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.isAbandoned() {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	if err != nil && c.isAbandoned() {
+		err = io.EOF
+	}
+	return n, err
 }
 
 // beginRequest marks a request as being served. It reports false if the connection has been
@@ -129,21 +173,46 @@
 }
 
 // Close implements net.Conn. While a request is served it does nothing: the server closes the
-// connection after the response, as it shuts down.
+// connection after the response, as it shuts down. An abandoned connection lingers, unless it is
+// closed once more.
 func (c *connection) Close() error {
 	c.mu.Lock()
 	if c.serving {
 		c.mu.Unlock()
 		return nil
 	}
+	lingers := c.abandoned && !c.closed
 	c.closed = true
 	c.mu.Unlock()
+	if lingers {
+		c.linger()
+	}
 	return c.Conn.Close()
 }
 
-// SetReadDeadline implements net.Conn. Where the server waits for a request, or for its header,
+// Bounds of lingering.
+const (
+	maxLingerTime  = 2 * time.Second
+	maxLingerBytes = 4 << 20
+)
+
+// linger ends the response, and then drops what the caller still sends until it closes: closing a
+// connection with unread bytes resets it, and the reset could destroy a response on its way.
+func (c *connection) linger() {
+	c.keeper.serving.Add(1) // a planned stop waits for it
+	defer c.keeper.serving.Add(-1)
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime)) != nil {
+		return // the caller has closed the connection already
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // any end of it is good
+}
+
+// SetReadDeadline implements net.Conn. It leaves the deadline of an abandoned connection as it is. Where the server waits for a request, or for its header,
 // the timeout in effect replaces the server's own.
 func (c *connection) SetReadDeadline(t time.Time) error {
+	if c.isAbandoned() {
+		return nil
+	}
 	if wait := time.Until(t); wait > 0 && !c.isServing() {
 		t = t.Add(c.keeper.effectiveTimeout(wait) - wait)
 	}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -22,6 +22,7 @@
 	"comfreyplank.org/entry/dispatcher"
 	"comfreyplank.org/entry/follower"
 	"comfreyplank.org/entry/keeper"
+	"comfreyplank.org/entry/receiver"
 	"comfreyplank.org/entry/server"
 	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
@@ -171,7 +172,7 @@
 
 // Run serves until the stop context ends and everything in flight has ended.
 func (r *Runner) Run(stop context.Context) error {
-	public := newServer(r.keeper.Handler(r.public(r.server, r.dispatcher)))
+	public := newServer(r.keeper.Handler(receiver.Handler(r.public(r.server, r.dispatcher))))
 	r.keeper.Configure(public)
 	admin := newServer(r.server.Admin(r.publisher))
 	publicListener, err := net.Listen("tcp", r.settings.Listen)
