Look at what was sent only once the connection is closed

What a caller could get: 503 "not run" for a streamed request of which a part reached the endpoint.

Cause: the goroutine that sends a streamed body goes on while the attempt fails. Whether anything was written was read before the connection was closed, so a write between the two was not counted.

TestStreamedRequestIsNotProvedUnsent puts a write between them; before the change it got "not sent". Now the connection is closed first: what reached the endpoint was counted before it was written, and nothing can be written after the close.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -167,8 +167,8 @@
 		if err == nil {
 			return f.classify(answer.HTTP.Request.Header, answer)
 		}
+		p.discard(c) // first, as a streamed body may be written until then
 		sent := c.written.Load() != before
-		p.discard(c)
 		if sent || !reused || r.Stream != nil || ctx.Err() != nil {
 			return nil, classifyFailure(ctx, sent)
 		}
