--- a/core/drainer/drainer.go
+++ b/core/drainer/drainer.go
@@ -24,14 +24,17 @@
 	PhaseDone
 )
 
-// Drainer is the state of a shutdown. It is immutable.
+// Drainer is the state of a shutdown. It is immutable. Each of its times is counted from the stop
+// signal, so that a part which takes longer leaves less for the next ones.
 type Drainer struct {
 	phase  Phase
 	notice time.Duration
 	// idleFor is how long nothing must be in flight before idle connections are closed, and
 	// idleTimeout how long after the notice they are closed at the latest.
 	idleFor, idleTimeout time.Duration
-	stoppedAt            time.Time
+	// total is how long the whole shutdown may take; zero sets no bound.
+	total     time.Duration
+	stoppedAt time.Time
 	// busyAt is when a request was last in flight.
 	busyAt time.Time
 }
@@ -48,6 +51,31 @@
 	return d
 }
 
+// WithTotal returns a drainer whose shutdown ends at the latest when it has taken that long.
+func (d Drainer) WithTotal(total time.Duration) Drainer {
+	d.total = total
+	return d
+}
+
+// End returns when a shutdown that has begun ends at the latest, whatever is in flight then. It
+// returns the zero time if there is no bound.
+func (d Drainer) End() time.Time {
+	if d.total == 0 {
+		return time.Time{}
+	}
+	return d.stoppedAt.Add(d.total)
+}
+
+// Accepts reports whether a request that arrives now is served, and by when. During the notice each is
+// served, by the end of the shutdown at the latest. After the notice a request whose deadline comes later than
+// that end could be cut off, and is left to another instance.
+func (d Drainer) Accepts(now, deadline time.Time) (by time.Time, ok bool) {
+	if d.phase == PhaseServing || d.total == 0 || deadline.Before(d.End()) {
+		return deadline, true
+	}
+	return d.End(), now.Sub(d.stoppedAt) < d.notice
+}
+
 // Phase returns the current phase.
 func (d Drainer) Phase() Phase { return d.phase }
 
@@ -65,14 +93,14 @@
 
 // Advance returns the drainer in the phase for the given time and number of requests in flight.
 func (d Drainer) Advance(now time.Time, inFlight int) Drainer {
-	if d.phase == PhaseNotice && now.Sub(d.stoppedAt) >= d.notice {
+	if d.phase == PhaseNotice && now.Sub(d.stoppedAt) >= d.bounded(d.notice) {
 		d.phase = PhaseAwaitingIdle
 		d.busyAt = now
 	}
 	if inFlight > 0 {
 		d.busyAt = now
 	}
-	if d.phase == PhaseAwaitingIdle && (now.Sub(d.busyAt) >= d.idleFor || now.Sub(d.stoppedAt) >= d.notice+d.idleTimeout) {
+	if d.phase == PhaseAwaitingIdle && (now.Sub(d.busyAt) >= d.idleFor || now.Sub(d.stoppedAt) >= d.bounded(d.notice+d.idleTimeout)) {
 		d.phase = PhaseFinishing
 	}
 	if d.phase == PhaseFinishing && inFlight == 0 {
@@ -80,3 +108,11 @@
 	}
 	return d
 }
+
+// bounded limits a time since the stop to the whole shutdown.
+func (d Drainer) bounded(sinceStop time.Duration) time.Duration {
+	if d.total > 0 {
+		return min(sinceStop, d.total)
+	}
+	return sinceStop
+}
--- a/core/drainer/drainer_test.go
+++ b/core/drainer/drainer_test.go
@@ -100,3 +100,56 @@
 		}
 	})
 }
+
+// TestPartsOfAStopAreOneBudget guards against parts of a stop that are longer together than its time:
+// whatever delays one of them, it takes that time from the next.
+func TestPartsOfAStopAreOneBudget(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for total := time.Second; total <= time.Minute; total += 500 * time.Millisecond {
+		for _, notice := range []time.Duration{0, total / 3, total, 2 * total} {
+			for _, idle := range []time.Duration{0, total / 4, total, 2 * total} {
+				for _, delay := range []time.Duration{20 * time.Millisecond, 50 * time.Millisecond, total / 3} {
+					d := New(notice).WithIdleWait(250*time.Millisecond, idle).WithTotal(total).WithStop(start)
+					now := start
+					for d.Phase() < PhaseFinishing {
+						now = now.Add(delay)
+						d = d.Advance(now, 1)
+					}
+					assert.Equal(t, d.End(), start.Add(total))
+					assert.Assert(t, now.Sub(start) < total+delay, "total %s, notice %s, idle %s: idle connections are closed after %s", total, notice, idle, now.Sub(start))
+				}
+			}
+		}
+	}
+}
+
+// TestRequestsDuringAStopEndWithinIt guards against requests that are accepted though the stop could cut
+// them off.
+func TestRequestsDuringAStopEndWithinIt(t *testing.T) {
+	const notice, total = 2 * time.Second, 6 * time.Second
+	start := time.Unix(1000, 0)
+	running := New(notice).WithTotal(total)
+	stopping := running.WithStop(start)
+	tests := []struct {
+		name              string
+		drainer           Drainer
+		arrives, deadline time.Duration
+		// by is until when the request is served; zero if it is refused.
+		by time.Duration
+	}{
+		{"no stop", running, 0, time.Hour, time.Hour},
+		{"no bound", New(notice).WithStop(start), 5 * time.Second, time.Hour, time.Hour},
+		{"notice", stopping, time.Second, 3 * time.Second, 3 * time.Second},
+		{"notice, long deadline", stopping, time.Second, 9 * time.Second, total},
+		{"after the notice", stopping, notice, 5 * time.Second, 5 * time.Second},
+		{"after the notice, long deadline", stopping, notice, 7 * time.Second, 0},
+		{"at the end", stopping, total, 7 * time.Second, 0},
+	}
+	for _, tt := range tests {
+		by, ok := tt.drainer.Accepts(start.Add(tt.arrives), start.Add(tt.deadline))
+		assert.Equal(t, ok, tt.by > 0, tt.name)
+		if ok {
+			assert.Equal(t, by, start.Add(tt.by), tt.name)
+		}
+	}
+}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/drainer"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/router"
@@ -54,6 +55,8 @@
 	started        time.Time
 	configured     chan struct{}
 	configuredOnce sync.Once
+	// shutdown is the planned stop; nil before it begins.
+	shutdown atomic.Pointer[drainer.Drainer]
 
 	mu          sync.RWMutex
 	dispatchers map[string]*serviceDispatcher
@@ -131,6 +134,9 @@
 	}
 }
 
+// Stop begins a planned stop: from now on, requests that it would cut off are refused.
+func (d *Dispatcher) Stop(shutdown drainer.Drainer) { d.shutdown.Store(&shutdown) }
+
 // Handle passes an input to the balancer of a service.
 func (d *Dispatcher) Handle(service string, in balancer.Input) {
 	if s := d.serviceDispatcher(service); s != nil {
@@ -258,6 +264,14 @@
 		AttemptLimit:  match.Route.Attempts,
 		LatencyTarget: time.Duration(match.Route.LatencyTargetMs) * time.Millisecond,
 	}
+	if shutdown := d.shutdown.Load(); shutdown != nil {
+		by, ok := shutdown.Accepts(arrivedAt, call.Deadline)
+		if !ok {
+			d.refuse(w, parsed.ID, http.StatusServiceUnavailable, "this instance stops before the request's deadline")
+			return
+		}
+		call.Deadline = by
+	}
 	request, problem := d.readWithinDeadline(r, &call)
 	if problem != nil {
 		problem.Request = parsed.ID
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -59,8 +59,8 @@
 	Control []string
 	// AnnounceKey must come with announcements; if empty, none is required.
 	AnnounceKey string
-	// ShutdownNotice is how long the entry serves on after a stop signal, and Grace how long it
-	// then waits for requests in flight.
+	// ShutdownNotice is how long the entry serves on after a stop signal, and Grace how long after
+	// that it has ended at the latest, with or without requests in flight.
 	ShutdownNotice time.Duration
 	Grace          time.Duration
 }
@@ -248,23 +248,45 @@
 	return d
 }
 
+// newDrainer returns the drainer of a planned stop. The wait for an idle moment is a part of the grace
+// time.
+func (r *Runner) newDrainer() drainer.Drainer {
+	notice, grace := r.settings.ShutdownNotice, r.settings.Grace
+	return drainer.New(notice).WithIdleWait(idleTime, min(maxIdleWait, grace/idleShare)).WithTotal(notice + grace)
+}
+
 // drain carries out the planned stop: it fails the readiness check, serves on for a while, and
 // then waits for requests in flight.
 func (r *Runner) drain(public *http.Server, listener net.Listener) error {
 	slog.Info("stopping", "notice", r.settings.ShutdownNotice)
 	r.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "readiness fails, still serving"})
 	r.server.Stop()
-	d := drainer.New(r.settings.ShutdownNotice).WithIdleWait(idleTime, min(maxIdleWait, r.settings.Grace/idleShare)).WithStop(time.Now())
+	d := r.newDrainer().WithStop(time.Now())
+	r.dispatcher.Stop(d)
 	d = r.awaitPhase(d, drainer.PhaseAwaitingIdle)
 	_ = listener.Close() // stops accepting connections
 	d = r.awaitPhase(d, drainer.PhaseFinishing)
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Grace)
+	ctx, cancel := context.WithDeadline(context.Background(), d.End())
 	defer cancel()
-	if err := public.Shutdown(ctx); err != nil {
+	if err := public.Shutdown(ctx); err != nil && r.inFlight() > 0 { // connections without a request don't count
 		return errors.Wrap(err, "requests still in flight when the grace time ended")
 	}
+	if err := r.awaitEnd(ctx, d); err != nil {
+		return err
+	}
+	r.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "nothing in flight"})
+	slog.Info("stopped")
+	return nil
+}
+
+// awaitEnd waits until nothing is in flight, at most until the context ends.
+func (r *Runner) awaitEnd(ctx context.Context, d drainer.Drainer) error {
 	lastLogged := time.Now()
-	for d.Phase() != drainer.PhaseDone || !r.follower.CommandsDone() {
+	for {
+		d = d.Advance(time.Now(), r.inFlight())
+		if d.Phase() == drainer.PhaseDone && r.follower.CommandsDone() {
+			return nil
+		}
 		if ctx.Err() != nil {
 			return errors.New("attempts or claims still in flight when the grace time ended")
 		}
@@ -273,9 +295,5 @@
 			slog.Info("waiting to stop", "in-flight", r.dispatcher.InFlight(), "serving", r.keeper.Serving(), "commands", r.follower.PendingCommands())
 		}
 		time.Sleep(drainInterval)
-		d = d.Advance(time.Now(), r.inFlight())
 	}
-	r.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "nothing in flight"})
-	slog.Info("stopped")
-	return nil
 }
