--- a/bench/stager/stop_test.go
+++ b/bench/stager/stop_test.go
@@ -105,3 +105,34 @@
 	}
 	group.Wait()
 }
+
+// TestSignalsDuringAStopAreIgnored guards against a stop that is cut short by a further signal: a second
+// SIGTERM, or a SIGHUP.
+func TestSignalsDuringAStopAreIgnored(t *testing.T) {
+	s, err := New(bin, t.TempDir(), 1, 1)
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	stopped := s.Entries[0]
+	assert.NilError(t, s.AddStandin("rounds", "--service-ms", "1500", "--spread", "0"))
+	assert.NilError(t, s.Start())
+	assert.Equal(t, s.apply(t, documentWithDeadline(10*time.Second)).Status, "in-force")
+	s.awaitReady(t)
+	c := connect(t, stopped)
+	var group sync.WaitGroup
+	group.Go(func() {
+		status, _, err := c.get("/rounds/x")
+		assert.Check(t, err)
+		assert.Check(t, status == http.StatusOK, "%d", status)
+	})
+	time.Sleep(200 * time.Millisecond) // lets the request be in flight
+	for _, process := range []*Process{stopped, s.Controls[0]} {
+		for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP} {
+			assert.NilError(t, process.Signal(signal))
+			time.Sleep(100 * time.Millisecond)
+		}
+		if process == stopped {
+			group.Wait()
+		}
+		assert.Equal(t, process.Wait(), 0, process.Name)
+	}
+}
--- a/control/main.go
+++ b/control/main.go
@@ -37,6 +37,7 @@
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimit)
 	}
+	signal.Ignore(syscall.SIGHUP) // all settings are flags, there is nothing to reload
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := runner.New(settings.runner()).Run(stop); err != nil {
