Fit the parts of a replica's stop into its grace time

A replica waited up to 2 s for another leader and then up to 1 s for operators' requests, whatever time it had: with a grace time below 3 s the platform killed it with requests in flight.

--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -29,11 +29,7 @@
 const (
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	// leadershipTransferTimeout limits the wait for another leader before a planned stop.
-	leadershipTransferTimeout = 2 * time.Second
-	// shutdownTimeout limits the wait for operators' requests in flight at a planned stop.
-	shutdownTimeout = time.Second
-	pollInterval    = 20 * time.Millisecond
+	pollInterval   = 20 * time.Millisecond
 )
 
 // Settings configure a replica.
@@ -51,6 +47,8 @@
 	// Peers are the replicas that bootstrap the system, this one included. Without peers, the
 	// replica forms a system of its own.
 	Peers []replicator.Member
+	// Grace is how long a planned stop may take; zero selects DefaultGrace.
+	Grace time.Duration
 	// OperatorKey is the key that changes must carry. If it is empty, they need none.
 	OperatorKey string
 }
@@ -132,8 +130,9 @@
 	slog.Info("serving", "listen", s.Listen, "admin", s.Admin, "data", s.Data)
 	select {
 	case <-stop.Done():
-		transferLeadership(d)
-		shutDown(servers)
+		parts := divideGrace(cmp.Or(s.Grace, DefaultGrace))
+		transferLeadership(d, parts.transfer)
+		shutDown(servers, parts.requests)
 	case err = <-failed:
 	}
 	cancel()
@@ -179,17 +178,6 @@
 	return servers, nil
 }
 
-// shutDown waits until the requests in flight have completed, for at most shutdownTimeout.
-func shutDown(servers []*http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			slog.Warn("operators' requests did not complete in time", "error", err)
-		}
-	}
-}
-
 func adminHandler(o *operator.Operator, c *console.Console) http.Handler {
 	r := chi.NewRouter()
 	o.Register(r)
@@ -202,19 +190,3 @@
 		slog.Error(component+" ended", "error", err)
 	}
 }
-
-// transferLeadership asks the driver to transfer the leadership of both logs, and waits until
-// this replica no longer leads the configuration log. It does not wait if there is no other
-// replica.
-func transferLeadership(d *driver.Driver) {
-	slog.Info("stopping")
-	d.TransferLeadership()
-	deadline := time.Now().Add(leadershipTransferTimeout)
-	for time.Now().Before(deadline) {
-		status := d.Status()
-		if status.Role != "leader" || len(status.Members) < 2 {
-			return
-		}
-		time.Sleep(pollInterval)
-	}
-}
--- a/control/settings.go
+++ b/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"comfreyplank.org/control/runner"
 	"comfreyplank.org/core/replicator"
@@ -20,6 +21,7 @@
 	Admin       string             `long:"admin" env:"COMFREYPLANK_ADMIN" default:"127.0.0.1:7081" description:"IP address and port for operators and metrics"`
 	Data        string             `long:"data" env:"COMFREYPLANK_DATA" required:"true" description:"data folder, on a disk of this instance"`
 	Peers       []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
+	Grace       time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"6s" description:"longest time that a planned stop takes"`
 	OperatorKey string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
 	Logging     configurer.Logging `group:"Log"`
 }
@@ -41,6 +43,9 @@
 		c.Address("advertise", s.Advertise)
 	}
 	s.checkPeers(&c)
+	if s.Grace <= 0 {
+		c.Add("grace", "must be positive")
+	}
 	return c.Err()
 }
 
@@ -64,7 +69,7 @@
 }
 
 func (s settings) runner() runner.Settings {
-	return runner.Settings{Name: s.Name, Listen: s.Listen, Advertise: s.Advertise, Admin: s.Admin, Data: s.Data, Peers: s.members(), OperatorKey: s.OperatorKey}
+	return runner.Settings{Name: s.Name, Listen: s.Listen, Advertise: s.Advertise, Admin: s.Admin, Data: s.Data, Peers: s.members(), Grace: s.Grace, OperatorKey: s.OperatorKey}
 }
 
 // members returns the peers as members of the replicated groups.
