Check departures like announcements

Reported by other operators: one odd entry among the announcements stops those who read the list.

Cause: only announcements were checked, departures were passed on as they came; no message between processes can carry such a name, and the stream that should have ended with everything queued on it.

Announcements that another process passes on are checked once more, one by one.

--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -27,6 +27,10 @@
 func (c *Controller) updateRegistry(now time.Time, list []registrar.Announcement) []registrar.Announcement {
 	var changed []registrar.Announcement
 	for _, a := range list {
+		if !a.Valid() { // the others of the list are used all the same
+			c.record(recorder.Event{Kind: recorder.KindAnnouncementInvalid, Service: a.Service, Endpoint: a.Endpoint})
+			continue
+		}
 		a, ok := c.committer.ApplyDeparture(a)
 		if !ok {
 			continue
--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -10,6 +10,7 @@
 // The kinds of events.
 const (
 	KindEndpointAnnounced    Kind = "endpoint-announced"
+	KindAnnouncementInvalid  Kind = "announcement-invalid"
 	KindEndpointStateChanged Kind = "endpoint-state-changed"
 	KindEndpointExpired      Kind = "endpoint-expired"
 	KindEndpointEjected      Kind = "endpoint-ejected"
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -158,9 +158,8 @@
 		return
 	}
 	a, problems := decodeAnnouncement(r)
-	a.Deregistered = deregistering
-	if len(problems) == 0 && !deregistering {
-		problems = a.Check()
+	if len(problems) == 0 {
+		a, problems = check(a, deregistering)
 	}
 	if len(problems) > 0 {
 		reporter.Problem{Status: http.StatusBadRequest, Detail: "the announcement is not valid", Errors: problems}.Write(w, reporter.OutcomeNotRun)
@@ -179,6 +178,19 @@
 	reporter.JSON(w, http.StatusOK, announcementReply{LeaseMs: registrar.Lease.Milliseconds(), RenewalMs: registrar.RenewalInterval.Milliseconds()})
 }
 
+// check returns the problems of an announcement. Of a deregistration, only what identifies the endpoint is used.
+func check(a registrar.Announcement, deregistering bool) (registrar.Announcement, []validator.Problem) {
+	if !deregistering {
+		return a, a.Check()
+	}
+	departure := registrar.Announcement{Name: a.Name, State: registrar.StateDraining, Incarnation: a.Incarnation, Sequence: a.Sequence, Deregistered: true}
+	problems := departure.CheckDeparture()
+	if departure.Incarnation == 0 {
+		problems = append(problems, validator.Problem{Path: "incarnation", Detail: "must be greater than 0"})
+	}
+	return departure, problems
+}
+
 // announcementBody is an announcement as endpoints send it.
 type announcementBody struct {
 	Address     string          `json:"address"`
