Check messages of replicas before they are handled

Cause: both were panics "that can't happen", since a replica had encoded them.

A message is now checked before it is handled and dropped with an event if it contradicts itself.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -245,22 +245,47 @@
 // startGroup creates the replica of a group and restores the state of its snapshot.
 func (c *Controller) startGroup(now time.Time, id messenger.Group, stored replicator.Stored) error {
 	source := rand.New(rand.NewPCG(c.rand.Uint64(), c.rand.Uint64()))
-	replica, err := replicator.New(now, c.self.ID, stored, replicator.WithRand(source))
+	g := c.group(id)
+	check := func(data []byte) (err error) {
+		g.received, err = c.decodeState(id, data)
+		return err
+	}
+	replica, err := replicator.New(now, c.self.ID, stored, replicator.WithRand(source), replicator.WithSnapshotCheck(check))
+	if err != nil {
+		return err
+	}
+	*g = group{id: id, replica: replica, applied: stored.Snapshot.Index}
+	state, err := c.decodeState(id, stored.Snapshot.Data)
 	if err != nil {
 		return err
 	}
-	*c.group(id) = group{id: id, replica: replica, applied: stored.Snapshot.Index}
-	return c.restoreState(id, stored.Snapshot.Data)
+	c.replaceState(state)
+	return nil
 }
 
-// restoreState replaces the state of a group by that of a snapshot.
-func (c *Controller) restoreState(id messenger.Group, data []byte) (err error) {
+// groupState is the state of one group: one of the fields is set.
+type groupState struct {
+	committer *committer.Committer
+	claimer   *claimer.Claimer
+}
+
+// decodeState decodes the state of a group from a snapshot.
+func (c *Controller) decodeState(id messenger.Group, data []byte) (s groupState, err error) {
 	if id == messenger.GroupClaims {
-		c.claimer, err = claimer.Restore(data, c.claimerOptions...)
-		return err
+		s.claimer, err = claimer.Restore(data, c.claimerOptions...)
+		return s, err
+	}
+	s.committer, err = committer.Restore(data)
+	return s, err
+}
+
+func (c *Controller) replaceState(s groupState) {
+	switch {
+	case s.claimer != nil:
+		c.claimer = s.claimer
+	case s.committer != nil:
+		c.committer = s.committer
 	}
-	c.committer, err = committer.Restore(data)
-	return err
 }
 
 // announceDepartures enters the departures of a restored state in the registry.
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -18,6 +18,8 @@
 	// persisting is set while an Output is being synced. Whatever the replica produces meanwhile
 	// goes into the next Output.
 	persisting bool
+	// received is the state of the last snapshot that the leader sent, until it is in effect.
+	received groupState
 }
 
 func (c *Controller) group(id messenger.Group) *group {
@@ -118,9 +120,8 @@
 }
 
 func (c *Controller) installSnapshot(now time.Time, g *group, s replicator.Snapshot) {
-	if err := c.restoreState(g.id, s.Data); err != nil {
-		panic(err) // can't happen: the leader encoded it, and the transport verified its checksum
-	}
+	c.replaceState(g.received)
+	g.received = groupState{}
 	g.applied = s.Index
 	if g.id == messenger.GroupConfig {
 		c.announceDepartures(now)
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -120,6 +120,10 @@
 func (c *Controller) onPeer(now time.Time, m messenger.ToPeer) {
 	switch v := m.(type) {
 	case messenger.ReplicationMessage:
+		if err := v.Envelope.Check(); err != nil {
+			c.record(recorder.Event{Kind: recorder.KindMessageInvalid, Detail: err.Error()})
+			return
+		}
 		c.group(v.Group).replica.Receive(now, v.Envelope)
 		c.updateRevisionInEffect(now)
 	case messenger.Presence:
--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -38,6 +38,7 @@
 	KindBudgetShareChanged   Kind = "budget-share-changed"
 	KindShutdown             Kind = "shutdown"
 	KindStarted              Kind = "started"
+	KindMessageInvalid       Kind = "message-invalid"
 	KindJournalFailed        Kind = "journal-failed"
 )
 
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -112,6 +112,8 @@
 	maxElectionTimeout time.Duration
 	rand               *rand.Rand
 	epoch              time.Time
+	// checkSnapshot returns an error for a snapshot that can't be used.
+	checkSnapshot func(data []byte) error
 	// incarnation is a random number that identifies this process.
 	incarnation uint64
 
@@ -206,6 +208,12 @@
 	return func(r *Replica) { r.rand = source }
 }
 
+// WithSnapshotCheck has the data of a snapshot checked before it replaces the state. A snapshot that
+// fails is dropped.
+func WithSnapshotCheck(check func(data []byte) error) Option {
+	return func(r *Replica) { r.checkSnapshot = check }
+}
+
 // New returns a replica that continues from its stored state.
 func New(now time.Time, id ID, stored Stored, opts ...Option) (*Replica, error) {
 	r := &Replica{
@@ -220,6 +228,7 @@
 		members:            stored.Snapshot.Members,
 		lastLeaderContact:  now,
 		forwardedReads:     make(map[uint64]time.Time),
+		checkSnapshot:      func([]byte) error { return nil },
 	}
 	for _, opt := range opts {
 		opt(r)
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -201,7 +201,7 @@
 	r.log.append(entries...)
 	r.out.Entries = append(r.out.Entries, entries...)
 	if err := r.applyMembershipEntries(entries); err != nil {
-		panic(err) // the leader encoded the membership
+		panic(err) // can't happen: Envelope.Check has decoded it
 	}
 }
 
@@ -214,6 +214,9 @@
 	if r.role != RoleLeader || p == nil {
 		return
 	}
+	if m.Match > r.log.lastIndex() {
+		return // no replica has synced entries that this leader doesn't have
+	}
 	r.recordReply(now, p, m.LeaderTime)
 	if p.incarnation != m.Run || p.followerTime < m.Sent {
 		p.incarnation = m.Run
@@ -340,6 +343,10 @@
 	}
 	if m.Offset == len(r.incomingSnapshot.Data) {
 		r.incomingSnapshot.Data = append(r.incomingSnapshot.Data, m.Data...)
+		if m.Done && r.checkSnapshot(r.incomingSnapshot.Data) != nil {
+			r.incomingSnapshot = nil // the leader starts again
+			return
+		}
 		if m.Done {
 			r.installSnapshot(*r.incomingSnapshot)
 			r.send(e.From, r.acceptingReply(now, m.LeaderTime, m.Index))
