Take no earlier refusal for the answer to a later request

Reported by other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told "not run" for what runs.

Here: by the platform's protocol the echoed id tells the two apart, and the balancer never sends a request to one endpoint twice, so ids of two attempts don't meet on a connection. A request without an id had nothing to tell, and the product's own protocol has no echo.

A request without an id now gets a connection of its own. In the product's own protocol, a connection that has carried a refusal is closed.

TestRepeatedRefusalIsNoProof fails before: "503, ran 1 times".

--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -472,3 +473,53 @@
 		assert.Equal(t, <-statuses, tt.want, tt.name)
 	}
 }
+
+// TestRepeatedRefusalIsNoProof guards against a refusal that an endpoint writes once more on a kept
+// connection: the request that runs there was refused as not run.
+func TestRepeatedRefusalIsNoProof(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nComfreyplank-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+	var runs atomic.Int32
+	var refused atomic.Bool
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		again := ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if refused.CompareAndSwap(false, true) {
+				again = refusal
+				_, _ = io.WriteString(c, refusal)
+				continue
+			}
+			runs.Add(1)
+			_, _ = io.WriteString(c, again+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran")
+		}
+	}
+	group.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			group.Go(func() { serve(c) })
+		}
+	})
+	f := newFixture(t, listener.Addr().String())
+	for range 20 {
+		before := runs.Load()
+		response, text := f.do(f.request("POST", "/", "x"))
+		ran := runs.Load() - before
+		assert.Check(t, ran <= 1, "ran %d times", ran)
+		assert.Check(t, (text == "ran") == (ran == 1), "%d, ran %d times", response.StatusCode, ran)
+	}
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -157,8 +157,9 @@
 // that tells how the attempt failed.
 func (f *Forwarder) Send(ctx context.Context, d balancer.Dispatch, r Request) (*Response, balancer.Ending) {
 	p := f.pool(d.Address)
+	policy := f.connectionPolicy(d, r)
 	for {
-		c, reused, err := p.get(ctx, d.ConnectionPolicy)
+		c, reused, err := p.get(ctx, policy)
 		if err != nil {
 			return nil, balancer.EndingNotSent
 		}
@@ -175,6 +176,19 @@
 	}
 }
 
+// connectionPolicy excludes idle connections for a request whose response could be taken for that to an
+// earlier one: an endpoint may write a response again.
+func (f *Forwarder) connectionPolicy(d balancer.Dispatch, r Request) balancer.ConnectionPolicy {
+	policy := d.ConnectionPolicy
+	if f.protocol.Unidentified != nil && f.protocol.Unidentified(r.Header) {
+		policy.MaxIdle = noIdle
+	}
+	return policy
+}
+
+// noIdle is shorter than any connection has been idle.
+const noIdle = -1
+
 // classifyFailure returns the ending of a failed exchange. A request of which nothing was
 // written was not run, even if its time ran out meanwhile.
 func classifyFailure(ctx context.Context, sent bool) balancer.Ending {
@@ -191,15 +205,25 @@
 
 // classify recognises a refusal, and the response to another request.
 func (f *Forwarder) classify(sent http.Header, a *Response) (*Response, balancer.Ending) {
+	a.HTTP.Close = a.HTTP.Close || !f.mayReuse(sent)
 	ending := f.protocol.ClassifyResponse(sent, a.HTTP)
 	if ending == balancer.EndingComplete {
 		return a, ending
 	}
 	// After the response to another request, the connection's further bytes can't be trusted.
-	f.Finish(a, a.Complete && ending == balancer.EndingRefused)
+	f.Finish(a, a.Complete && ending == balancer.EndingRefused && f.identifiesRefusals())
 	return a, ending
 }
 
+// mayReuse reports whether a later request may use the connection of a request.
+func (f *Forwarder) mayReuse(sent http.Header) bool {
+	return f.protocol.Unidentified == nil || !f.protocol.Unidentified(sent)
+}
+
+// identifiesRefusals reports whether a refusal tells which request it refuses. Where it doesn't, an endpoint
+// that writes it again would refuse the next request on the connection, which it runs.
+func (f *Forwarder) identifiesRefusals() bool { return f.protocol.Unidentified != nil }
+
 func (f *Forwarder) sendOn(ctx context.Context, p *pool, c *connection, d balancer.Dispatch, r Request) (*Response, error) {
 	var rest *receiver.Transfer
 	if r.Stream != nil {
@@ -308,6 +332,7 @@
 		p.discard(c)
 		return balancer.NoReport, balancer.EndingLost
 	}
-	f.Finish(answer, answer.Complete)
-	return answer.Report, f.protocol.ClassifyProbe(v.Endpoint, answer.HTTP)
+	ending := f.protocol.ClassifyProbe(v.Endpoint, answer.HTTP)
+	f.Finish(answer, answer.Complete && (ending == balancer.EndingComplete || f.identifiesRefusals()))
+	return answer.Report, ending
 }
--- a/entry/translator/translator.go
+++ b/entry/translator/translator.go
@@ -61,6 +61,10 @@
 	// ClassifyResponse classifies the head of a response: balancer.EndingComplete if it belongs
 	// to this request, or else how the attempt failed.
 	ClassifyResponse func(sent http.Header, response *http.Response) balancer.Ending
+	// Unidentified reports whether nothing in a response tells it from the response to an
+	// earlier request. Such a request gets a connection of its own. If unset, that is needed
+	// only after a refusal.
+	Unidentified func(sent http.Header) bool
 	// Report returns the load report in the header of a response.
 	Report func(h http.Header) balancer.Report
 	// ClassifyProbe classifies the response to a probe: balancer.EndingComplete when it comes
