Reset the connection of a caller of HTTP/1.0 whose response breaks off

Reported by other operators: an endpoint stops in the middle of its response and callers get a success that is framed as whole.

Here: TestResponseCutAnywhereIsNoSuccess cuts eight kinds of responses after each byte, by a close and by a reset, on new and kept connections; it holds before and after. TestLongResponseCutAnywhereIsNoSuccess fails before in all 8 rows of chunks to HTTP/1.0: 195,649 to 200,119 bytes that look whole.

Cause: a response above 64 KiB is passed on before its end, and cut by closing the connection. To HTTP/1.0, without a length, that is the end of a complete body. While such a response is passed on, the end of its connection is now a reset, also when the process is killed.

--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -11,6 +11,7 @@
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/entry/forwarder"
+	"comfreyplank.org/entry/keeper"
 	"comfreyplank.org/entry/translator"
 )
 
@@ -95,7 +96,7 @@
 
 func (s *serviceDispatcher) writeComplete(w http.ResponseWriter, r *http.Request, t *attempt) {
 	response := t.response
-	chunked := len(response.HTTP.Trailer) > 0
+	chunked := len(response.HTTP.Trailer) > 0 && r.ProtoAtLeast(1, 1)
 	if r.Method != http.MethodHead && !chunked && bodyAllowed(response.HTTP.StatusCode) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response.Prefix)))
 	}
@@ -147,6 +148,11 @@
 // connection is cut too, so that the caller can't take the response for a complete one.
 func (s *serviceDispatcher) streamBody(w http.ResponseWriter, r *http.Request, t *attempt) {
 	httpResponse := t.response.HTTP
+	// Without a length, the body ends with the connection for callers of HTTP/1.0.
+	delimited := !r.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == ""
+	if delimited {
+		keeper.ResetOnClose(r.Context(), true)
+	}
 	w.WriteHeader(httpResponse.StatusCode)
 	t.ending = copyBody(w, s.deps.Outbound.Writer(r.Context(), w), t.response)
 	if t.ending == balancer.EndingComplete {
@@ -156,6 +162,9 @@
 	if t.ending != balancer.EndingComplete {
 		panic(http.ErrAbortHandler)
 	}
+	if delimited {
+		keeper.ResetOnClose(r.Context(), false)
+	}
 	writeTrailers(w, httpResponse)
 }
 
--- a/entry/keeper/keeper.go
+++ b/entry/keeper/keeper.go
@@ -124,6 +124,23 @@
 	return ok
 }
 
+// ResetOnClose sets whether the end of a request's connection, also by the end of the process, resets it.
+// That tells a caller that a body which ends with the connection is not complete. It changes nothing if the
+// context is not that of a request on a keeper's connection.
+func ResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	if !ok {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		seconds := -1 // the system's default: an end in order
+		if reset {
+			seconds = 0
+		}
+		_ = tcp.SetLinger(seconds) // fails only if the connection has ended
+	}
+}
+
 func (c *connection) abandon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
