Don't cut a request's body 250 ms after a response without a body

Cause: the bound of 250 ms for responses whose end the caller learns only as the handler returns was taken for all without a length, though 204, 304 and HEAD have no body at all. Their bodies now have until the deadline, as with a length.

--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -105,7 +105,7 @@
 		_ = http.NewResponseController(w).Flush() // trailers need a chunked body
 	}
 	_, _ = s.deps.Outbound.Writer(r.Context(), w).Write(response.Prefix) // nothing can be reported to a disconnected caller
-	s.awaitSending(w, t)
+	s.awaitSending(w, r, t)
 	t.ending = balancer.EndingComplete
 	close(t.bodyDone)
 	writeTrailers(w, response.HTTP)
@@ -117,14 +117,15 @@
 
 // awaitSending passes the response to the caller, and then lets the rest of the request's body reach
 // the endpoint, until the attempt ends.
-func (s *serviceDispatcher) awaitSending(w http.ResponseWriter, t *attempt) {
+func (s *serviceDispatcher) awaitSending(w http.ResponseWriter, r *http.Request, t *attempt) {
 	sending := t.response.Sending()
 	if sending == nil {
 		return
 	}
 	_ = http.NewResponseController(w).Flush() // nothing can be reported to a disconnected caller
 	ctx, cancel := t.ctx, context.CancelFunc(func() {})
-	if w.Header().Get("Content-Length") == "" {
+	hasBody := r.Method != http.MethodHead && bodyAllowed(t.response.HTTP.StatusCode)
+	if hasBody && w.Header().Get("Content-Length") == "" {
 		ctx, cancel = context.WithTimeout(ctx, maxSendingAfterStream)
 	}
 	defer cancel()
@@ -156,7 +157,7 @@
 	w.WriteHeader(httpResponse.StatusCode)
 	t.ending = copyBody(w, s.deps.Outbound.Writer(r.Context(), w), t.response)
 	if t.ending == balancer.EndingComplete {
-		s.awaitSending(w, t)
+		s.awaitSending(w, r, t)
 	}
 	close(t.bodyDone)
 	if t.ending != balancer.EndingComplete {
