Take an endpoint's word that it leaves or wants a pause

An entry now closes a leaving endpoint at once, for every path, until another incarnation announces itself; neither announcements nor documents nor a time without any bring it back. While all endpoints pause or leave, calls are refused at once with a Retry-After from the first known end. A response to another request says nothing of its endpoint any more.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -135,7 +135,9 @@
 	nextProbeAt time.Time
 	lastProbe   time.Time
 	// anyLimited is set if an endpoint may have a limit.
-	anyLimited  bool
+	anyLimited bool
+	// remembered is what endpoints have said that are no longer announced.
+	remembered  []rememberedStatements
 	limitCounts LimitCounts
 	// endpointsKnown is set once the service has endpoints. Those added later start cold.
 	endpointsKnown bool
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -135,7 +135,7 @@
 		return
 	}
 	if !b.anyEndpointAccepts(now) {
-		b.refuse(now, c, ReasonNoEndpoint)
+		b.refuse(now, c, b.reasonClosed(now))
 		return
 	}
 	if !b.enqueue(now, c) {
@@ -381,6 +381,9 @@
 	if reason == ReasonLimit {
 		return b.permitRetryAfter(now, c)
 	}
+	if earliest := b.earliestReturn(now); !earliest.IsZero() && !b.anyEndpointAccepts(now) {
+		return b.pauseRetryAfter(now, c, earliest)
+	}
 	maxDelay := c.Deadline.Sub(now) / retryAfterDivisor
 	if !c.sampled || maxDelay <= 0 {
 		return 0
--- a/core/balancer/due.go
+++ b/core/balancer/due.go
@@ -66,6 +66,9 @@
 	if e.ejected() && now.Before(e.ejectedUntil) {
 		at = e.ejectedUntil
 	}
+	if now.Before(e.said.pausedUntil) {
+		at = scheduler.Earliest(at, e.said.pausedUntil)
+	}
 	if e.limited() {
 		at = scheduler.Earliest(at, e.throttle.ChangeAt(now))
 	}
--- a/core/balancer/due_test.go
+++ b/core/balancer/due_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"comfreyplank.org/core/allotter"
+	"comfreyplank.org/core/pauser"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/router"
 	"comfreyplank.org/core/throttler"
@@ -95,7 +96,11 @@
 		}
 		d := h.dispatched[0]
 		h.dispatched = h.dispatched[1:]
-		report := Report{Load: rapid.IntRange(-1, 3).Draw(rt, "load"), State: rapid.SampledFrom([]registrar.State{"", registrar.StateServing}).Draw(rt, "reported state")}
+		report := Report{Load: rapid.IntRange(-1, 3).Draw(rt, "load"), State: rapid.SampledFrom([]registrar.State{"", registrar.StateServing}).Draw(rt, "reported state"), Leaving: rapid.IntRange(0, 9).Draw(rt, "leaving") == 0}
+		report.Pause.For = time.Duration(rapid.SampledFrom([]int{0, 0, 0, 50, 700}).Draw(rt, "pause")) * time.Millisecond
+		if report.Pause.For > 0 {
+			report.Pause.Kind = pauser.Asked
+		}
 		return AttemptEnded{Attempt: d.Attempt, Ending: rapid.SampledFrom([]Ending{EndingNotSent, EndingRefused, EndingLost, EndingTimeout}).Draw(rt, "ending"), Report: report}
 	case 5:
 		if len(h.dispatched) > 0 {
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -20,7 +20,7 @@
 		b.onAttemptFailed(now, c, a, v.Ending)
 	}
 	if a.endpoint.removed {
-		b.pruneRemoved()
+		b.pruneRemoved(now)
 	}
 	b.dispatchQueued(now)
 }
@@ -40,6 +40,9 @@
 // recordEnding updates the state of the endpoint according to how the attempt ended.
 func (b *Balancer) recordEnding(now time.Time, a *attempt, v AttemptEnded) {
 	e := a.endpoint
+	if v.Ending != EndingMisdirected { // otherwise another endpoint has responded
+		b.recordStatements(now, e, a.call, v.Report)
+	}
 	switch v.Ending {
 	case EndingRefused:
 		b.recordReport(now, e, v.Report, len(e.inFlight))
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -60,7 +60,9 @@
 	// addressReused is set once another endpoint has replied at the address, until the endpoint
 	// restarts.
 	addressReused bool
-	lastEvidence  time.Time
+	// said is what the endpoint has said about new requests.
+	said         statements
+	lastEvidence time.Time
 	// statement is the latest statement of the endpoint about its limit.
 	statement throttler.Statement
 	// throttle holds the limit of the endpoint; nil if it has never named one.
@@ -82,6 +84,11 @@
 
 // accepts reports whether new requests may be sent to the endpoint.
 func (b *Balancer) accepts(now time.Time, e *endpoint) bool {
+	return e.said.allow(now) && b.isServing(now, e)
+}
+
+// isServing reports whether the endpoint is announced as serving, as far as this entry can know.
+func (b *Balancer) isServing(now time.Time, e *endpoint) bool {
 	if e.removed || e.addressReused || e.Stopped || e.State != registrar.StateServing {
 		return false
 	}
@@ -135,7 +142,7 @@
 // calls.
 func (b *Balancer) applyEndpointChanges(now time.Time) {
 	b.endpointsKnown = len(b.endpoints) > 0
-	b.pruneRemoved()
+	b.pruneRemoved(now)
 	b.updateCandidates(now)
 	b.scheduleProbe(now)
 	b.dispatchQueued(now)
@@ -160,6 +167,7 @@
 	}
 	if restarted {
 		e.addressReused = false
+		e.said = statements{}
 		e.verifiedAfter = now
 		e.failures = 0
 		e.ejectedUntil = time.Time{}
@@ -174,7 +182,7 @@
 	if b.endpointsKnown {
 		warmFrom = now
 	}
-	e := &endpoint{Endpoint: next, index: len(b.endpoints), rank: rankOf(b.entry, next.Endpoint)}
+	e := &endpoint{Endpoint: next, index: len(b.endpoints), rank: rankOf(b.entry, next.Endpoint), said: b.recallSaid(now, next)}
 	b.endpoints = append(b.endpoints, e)
 	b.endpointsByName[next.Endpoint] = e
 	b.ranksStale = true
@@ -191,10 +199,11 @@
 }
 
 // pruneRemoved deletes removed endpoints that have no request of this entry in flight.
-func (b *Balancer) pruneRemoved() {
+func (b *Balancer) pruneRemoved(now time.Time) {
 	kept := 0
 	for i, e := range b.endpoints {
 		if e.removed && len(e.inFlight) == 0 {
+			b.rememberSaid(now, e)
 			delete(b.endpointsByName, e.name())
 			b.ranksStale = true
 			continue
@@ -339,7 +348,7 @@
 func (b *Balancer) Leaving() []messenger.Leaving {
 	var list []messenger.Leaving
 	for _, e := range b.endpoints {
-		if e.removed || e.Stopped || e.State == registrar.StateDraining {
+		if e.removed || e.Stopped || e.State == registrar.StateDraining || e.said.leaving {
 			list = append(list, messenger.Leaving{Name: e.Name, InFlight: len(e.inFlight)})
 		}
 	}
@@ -348,8 +357,12 @@
 
 func (b *Balancer) onProbeEnded(now time.Time, v ProbeEnded) {
 	e := b.endpointsByName[v.Endpoint]
-	if e != nil && v.Misdirected {
+	switch {
+	case e == nil:
+	case v.Misdirected:
 		b.markAddressReused(now, e)
+	default:
+		b.recordStatements(now, e, nil, v.Report)
 	}
 	if v.Call != 0 {
 		b.onSampled(now, v)
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -5,6 +5,7 @@
 
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/claimer"
+	"comfreyplank.org/core/pauser"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
@@ -28,6 +29,10 @@
 	Slowdown float64
 	// Limit is what the response states about the endpoint's limit.
 	Limit throttler.Statement
+	// Leaving is set if the endpoint states that it leaves and gets no new requests.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests of this entry.
+	Pause pauser.Pause
 }
 
 // NoReport is the report of a response that does not state the load of the endpoint.
--- a/core/balancer/reason.go
+++ b/core/balancer/reason.go
@@ -5,6 +5,7 @@
 
 // The reasons for a refusal.
 const (
+	ReasonPaused            Reason = "the endpoints have asked for a pause"
 	ReasonNoEndpoint        Reason = "no endpoint of the service takes new work"
 	ReasonQueueFull         Reason = "too many calls are waiting"
 	ReasonDeadline          Reason = "the deadline can't be met"
--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -16,6 +16,7 @@
 	KindEndpointEjected      Kind = "endpoint-ejected"
 	KindEndpointReturned     Kind = "endpoint-returned"
 	KindEndpointStopped      Kind = "endpoint-stopped"
+	KindEndpointPaused       Kind = "endpoint-paused"
 	KindEndpointLimitChanged Kind = "endpoint-limit-changed"
 	KindStopComplete         Kind = "stop-complete"
 	KindConnectionsSuspected Kind = "connections-doubted"
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -19,6 +19,7 @@
 	probes       *prometheus.CounterVec
 	probeSeconds *prometheus.CounterVec
 	limits       *prometheus.CounterVec
+	statements   *prometheus.CounterVec
 	permits      *prometheus.CounterVec
 	limitedCalls *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
@@ -42,6 +43,9 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_limit_statements_total", Help: "Responses of endpoints that name a limit, by service and whether it can be read.",
 		}, []string{"service", "statement"}),
+		statements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_endpoint_statements_total", Help: "Responses by which an endpoint says that it leaves or wants a pause, by service and statement.",
+		}, []string{"service", "statement"}),
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_permits_total", Help: "Permits for endpoints with a limit, by service and whether they were granted by control or used.",
 		}, []string{"service", "event"}),
@@ -53,7 +57,7 @@
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.permits, c.limitedCalls, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.calls)
 	return c
 }
 
@@ -78,6 +82,11 @@
 	c.limits.WithLabelValues(service, kind.String()).Inc()
 }
 
+// Statement counts a response by which an endpoint says that it leaves or wants a pause.
+func (c *Counter) Statement(service, statement string) {
+	c.statements.WithLabelValues(service, statement).Inc()
+}
+
 // LimitCounts adds what the limits of endpoints have caused.
 func (c *Counter) LimitCounts(service string, added balancer.LimitCounts) {
 	c.permits.WithLabelValues(service, "granted").Add(float64(added.Granted))
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -78,6 +78,9 @@
 	}
 	copyHeader(w.Header(), removeHopByHop(httpResponse.Header))
 	s.deps.Callers.PrepareResponse(w.Header(), id)
+	if httpResponse.StatusCode == http.StatusServiceUnavailable {
+		w.Header().Del("Retry-After") // it speaks of this endpoint, others may serve sooner
+	}
 	if _, ok := httpResponse.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil // keeps the server from guessing
 	}
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -8,6 +8,7 @@
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/claimer"
 	"comfreyplank.org/core/messenger"
+	"comfreyplank.org/core/pauser"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
@@ -66,6 +67,7 @@
 	Refused(service string, outcome balancer.Outcome)
 	LimitStatement(service string, kind throttler.StatementKind)
 	LimitCounts(service string, added balancer.LimitCounts)
+	Statement(service, statement string)
 }
 
 // callResult is the result of a call: a response, a stored response or a refusal.
@@ -258,7 +260,7 @@
 func (s *serviceDispatcher) runAttempt(t *attempt, d balancer.Dispatch, request forwarder.Request) {
 	defer t.cancel()
 	response, ending := s.forwarder.Send(t.ctx, d, request)
-	s.countLimit(loadReport(response))
+	s.countStatements(loadReport(response))
 	if ending != balancer.EndingComplete {
 		s.endAttempt(t, ending, loadReport(response))
 		return
@@ -298,11 +300,17 @@
 	s.step(balancer.AttemptEnded{Attempt: t.id, Ending: ending, Report: report})
 }
 
-// countLimit counts a response that names a limit.
-func (s *serviceDispatcher) countLimit(r balancer.Report) {
+// countStatements counts what a response states about new requests to its endpoint.
+func (s *serviceDispatcher) countStatements(r balancer.Report) {
 	if r.Limit.Kind == throttler.StatementLimit || r.Limit.Kind == throttler.StatementInvalid {
 		s.deps.Counter.LimitStatement(s.service, r.Limit.Kind)
 	}
+	if r.Leaving {
+		s.deps.Counter.Statement(s.service, "leaving")
+	}
+	if r.Pause.Kind != pauser.None {
+		s.deps.Counter.Statement(s.service, r.Pause.Kind.String())
+	}
 }
 
 func loadReport(response *forwarder.Response) balancer.Report {
@@ -331,7 +339,7 @@
 		defer cancel()
 		start := s.deps.Now()
 		report, ending := s.forwarder.Probe(ctx, v)
-		s.countLimit(report)
+		s.countStatements(report)
 		took := s.deps.Now().Sub(start)
 		s.deps.Counter.Probe(s.service, took)
 		s.handle(balancer.ProbeEnded{
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -246,7 +246,7 @@
 		return nil, err
 	}
 	answer := &Response{
-		HTTP: response, Informational: informational, Report: f.protocol.Report(response.Header),
+		HTTP: response, Informational: informational, Report: f.protocol.Report(request.Header, response),
 		pool: p, connection: c, sending: sending, stopInterrupt: stopInterrupt,
 	}
 	response.Body = f.inbound.Body(ctx, response.Body)
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/core/pauser"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
@@ -39,7 +40,7 @@
 	return Endpoints{
 		PrepareAttempt:   prepareNativeAttempt,
 		ClassifyResponse: classifyNativeResponse,
-		Report:           func(h http.Header) balancer.Report { return ParseLoad(strings.Join(h.Values(LoadHeader), ",")) },
+		Report:           nativeReport,
 		ClassifyProbe:    classifyNativeProbe,
 	}
 }
@@ -107,6 +108,16 @@
 	return balancer.EndingComplete
 }
 
+// nativeReport reads the load header, and how long an endpoint without room wants no requests.
+func nativeReport(_ http.Header, response *http.Response) balancer.Report {
+	report := ParseLoad(strings.Join(response.Header.Values(LoadHeader), ","))
+	report.Leaving = report.State == registrar.StateDraining
+	if response.StatusCode == http.StatusServiceUnavailable {
+		report.Pause = pauser.Parse(response.Header.Values("Retry-After"))
+	}
+	return report
+}
+
 // ParseLoad parses a load header such as "load=3, state=serving, limit=2.5". Missing or invalid
 // parts are left unknown.
 func ParseLoad(value string) balancer.Report {
--- a/entry/translator/translator.go
+++ b/entry/translator/translator.go
@@ -65,8 +65,9 @@
 	// earlier request. Such a request gets a connection of its own. If unset, that is needed
 	// only after a refusal.
 	Unidentified func(sent http.Header) bool
-	// Report returns the load report in the header of a response.
-	Report func(h http.Header) balancer.Report
+	// Report returns what the header of a response says of its endpoint; balancer.NoReport if the
+	// response belongs to another request.
+	Report func(sent http.Header, response *http.Response) balancer.Report
 	// ClassifyProbe classifies the response to a probe: balancer.EndingComplete when it comes
 	// from the intended endpoint and that endpoint is healthy.
 	ClassifyProbe func(endpoint string, response *http.Response) balancer.Ending
