Tell draining from leaving in the product's own load header

An endpoint of the product's own protocol may announce that it serves again after draining, in the same incarnation, as the stand-in endpoints do; it would not have got work again at an entry that had seen the header. state=leaving is the final one now, and draining is what it was.

--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -111,7 +111,6 @@
 // nativeReport reads the load header, and how long an endpoint without room wants no requests.
 func nativeReport(_ http.Header, response *http.Response) balancer.Report {
 	report := ParseLoad(strings.Join(response.Header.Values(LoadHeader), ","))
-	report.Leaving = report.State == registrar.StateDraining
 	if response.StatusCode == http.StatusServiceUnavailable {
 		report.Pause = pauser.Parse(response.Header.Values("Retry-After"))
 	}
@@ -132,6 +131,7 @@
 			}
 		case "state":
 			report.State = parseState(text)
+			report.Leaving = text == stateLeaving
 		case "limit":
 			limits = append(limits, text)
 		}
@@ -140,6 +140,10 @@
 	return report
 }
 
+// stateLeaving is the state of an endpoint that gets no new requests until it restarts. One that is
+// draining may announce that it serves again.
+const stateLeaving = "leaving"
+
 func parseState(text string) registrar.State {
 	switch s := registrar.State(text); s {
 	case registrar.StateStarting, registrar.StateServing, registrar.StateDraining:
--- a/entry/translator/native_test.go
+++ b/entry/translator/native_test.go
@@ -21,6 +21,8 @@
 		{"", balancer.Report{Load: -1, Limit: none}},
 		{"load=3, state=serving", balancer.Report{Load: 3, State: registrar.StateServing, Limit: none}},
 		{"load=3, state=serving, limit=2.5", balancer.Report{Load: 3, State: registrar.StateServing, Limit: limit}},
+		{"load=3, state=draining", balancer.Report{Load: 3, State: registrar.StateDraining, Limit: none}},
+		{"load=3, state=leaving", balancer.Report{Load: 3, Leaving: true, Limit: none}},
 		{"limit=2.5", balancer.Report{Load: -1, Limit: limit}},
 		{"limit=4, limit=2.5", balancer.Report{Load: -1, Limit: limit}},
 		{"load=x, limit=", balancer.Report{Load: -1, Limit: throttler.Statement{Kind: throttler.StatementInvalid}}},
