--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -26,6 +26,8 @@
 		writeReplay(w, *v.replay, id)
 	case v.delivered != nil:
 		s.writeResponse(w, r, v.delivered, id)
+	default:
+		panic(http.ErrAbortHandler) // the attempt has ended meanwhile; no response is no success
 	}
 }
 
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -290,6 +290,9 @@
 	case <-r.Context().Done():
 		s.handle(balancer.CallerDisconnected{Call: call.ID})
 		s.discard(pending)
+		// A caller that has closed its own side only still reads: it must not get the empty success
+		// that the server makes of a handler which has written nothing.
+		panic(http.ErrAbortHandler)
 	}
 }
 
