--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -290,7 +290,7 @@
 
 // announceDepartures enters the departures of a restored state in the registry.
 func (c *Controller) announceDepartures(now time.Time) {
-	c.updateRegistry(now, c.committer.Departures())
+	c.registerDepartures(now, c.committer.Departures())
 }
 
 // Handle processes one input. The returned actions are valid until the next call.
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -230,6 +230,62 @@
 	}
 }
 
+// TestDepartureWinsOverAnyAnnouncement guards against a departure that a replica drops since it has heard a
+// later announcement of the same incarnation than the replica which took the departure: entries that follow it
+// sent work until the lease ended.
+func TestDepartureWinsOverAnyAnnouncement(t *testing.T) {
+	a := registrar.Announcement{
+		Name: registrar.Name{Service: serviceName, Endpoint: "leaver"}, Address: "127.0.0.1:99", DataCentre: "dc", Slots: 4, Connections: 9,
+		State: registrar.StateServing, Incarnation: 7, Sequence: 1,
+	}
+	goodbye := registrar.Announcement{Name: registrar.Name{Endpoint: "leaver"}, State: registrar.StateDraining, Deregistered: true}
+	named := goodbye
+	named.Service, named.Incarnation = serviceName, 7
+	draining := a
+	draining.State = registrar.StateDraining
+	tests := []struct {
+		name      string
+		departure registrar.Announcement
+		// ahead is how many announcements the other replica has heard that this one has not.
+		ahead uint64
+	}{
+		{"deregistration without a sequence", goodbye, 1},
+		{"deregistration without a sequence, several announcements later", goodbye, 5},
+		{"deregistration that names its incarnation", named, 1},
+		{"draining with the sequence of an earlier announcement", draining, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newReadySimulation(t, 5, 5)
+			assert.Assert(t, s.announceToReplica(s.replicas[3], a))
+			s.runFor(2 * time.Second)
+			for i := range tt.ahead {
+				later := a
+				later.Sequence += 1 + i
+				s.handle(s.replicas[3], controller.Announce{Request: 7000 + i, Announcement: later})
+			}
+			assert.Assert(t, s.announceToReplica(s.replicas[1], tt.departure))
+			for _, c := range s.replicas {
+				for _, known := range c.stateMachine.Status(s.now).Endpoints {
+					assert.Check(t, known.Endpoint != "leaver" || known.Leaving(), "%s still knows %+v", c.name, known)
+				}
+			}
+			restarted := a
+			restarted.Incarnation = 8
+			assert.Assert(t, s.announceToReplica(s.replicas[2], restarted))
+			s.announceToReplica(s.replicas[4], tt.departure) // an old departure, sent again
+			if tt.departure.Incarnation != 7 {
+				return // it names no incarnation, so it concerns the latest one
+			}
+			for _, c := range s.replicas {
+				for _, known := range c.stateMachine.Status(s.now).Endpoints {
+					assert.Check(t, known.Endpoint != "leaver" || !known.Leaving(), "%s takes an old departure for the new incarnation", c.name)
+				}
+			}
+		})
+	}
+}
+
 // TestIsolatedReplicaAcceptsNoAnnouncement checks that an isolated replica accepts neither an
 // announcement nor a departure, so that the endpoint turns to another one.
 func TestIsolatedReplicaAcceptsNoAnnouncement(t *testing.T) {
--- a/core/controller/departure.go
+++ b/core/controller/departure.go
@@ -83,10 +83,24 @@
 
 func (c *Controller) applyDeparture(now time.Time, d committer.Departure) {
 	c.committer.RecordDeparture(d)
-	c.updateRegistry(now, []registrar.Announcement{d.Announcement})
+	c.registerDepartures(now, []registrar.Announcement{d.Announcement})
 	c.replyToDepartures(now)
 }
 
+// registerDepartures enters stored departures in the registry. A departure wins over every announcement of the same
+// incarnation, whatever its sequence: the replica that took it may not have heard the latest one.
+func (c *Controller) registerDepartures(now time.Time, departures []registrar.Announcement) {
+	list := make([]registrar.Announcement, 0, len(departures))
+	for _, a := range departures {
+		known, ok := c.registry.Find(a.Name)
+		if ok && known.Incarnation == a.Incarnation && !known.Deregistered {
+			a.Sequence = max(a.Sequence, known.Sequence+1)
+		}
+		list = append(list, a)
+	}
+	c.updateRegistry(now, list)
+}
+
 // replyToDepartures replies to the endpoints whose departure is stored or has timed out.
 func (c *Controller) replyToDepartures(now time.Time) {
 	kept := c.pendingDepartures[:0]
