--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -74,10 +74,23 @@
 	if err != nil {
 		return stored, err
 	}
-	if err := j.replay(payloads, &stored); err != nil {
+	base, err := j.replay(payloads, &stored)
+	if err != nil {
 		return stored, err
 	}
-	return stored, j.openFile(int64(valid), int64(len(data)))
+	return stored, j.openAfter(snapshot, base, stored, int64(valid), int64(len(data)))
+}
+
+// openAfter opens a journal that was read for further frames. A journal that was written before the snapshot is
+// replaced, as after a crash between the two: further entries would not follow its own.
+func (j *Journal) openAfter(s replicator.Snapshot, base encoder.Base, stored replicator.Stored, valid, size int64) error {
+	switch {
+	case base.Index > s.Index:
+		return errors.Wrap(ErrDamaged, "the snapshot is older than the journal")
+	case base.Index < s.Index || base.Term != s.Term:
+		return j.createFile(stored.State, encoder.Base{Index: s.Index, Term: s.Term}, stored.Entries)
+	}
+	return j.openFile(valid, size)
 }
 
 func (j *Journal) loadSnapshot() (replicator.Snapshot, error) {
@@ -96,17 +109,18 @@
 }
 
 // replay reads the frames of a journal in order into stored.
-func (j *Journal) replay(payloads [][]byte, stored *replicator.Stored) error {
+// It returns the base of the journal.
+func (j *Journal) replay(payloads [][]byte, stored *replicator.Stored) (encoder.Base, error) {
 	var base encoder.Base
 	var entries []replicator.Entry
 	for i, payload := range payloads {
 		f, err := encoder.DecodeFrame(payload)
 		if err != nil {
-			return errors.Wrapf(ErrDamaged, "frame %d: %v", i, err)
+			return base, errors.Wrapf(ErrDamaged, "frame %d: %v", i, err)
 		}
 		if i == 0 {
 			if f.Base == nil {
-				return errors.Wrap(ErrDamaged, "the first frame of the journal has no base")
+				return base, errors.Wrap(ErrDamaged, "the first frame of the journal has no base")
 			}
 			base = *f.Base
 		}
@@ -114,14 +128,14 @@
 			stored.State = *f.State
 		}
 		if entries, err = appendEntries(base, entries, f.Entries); err != nil {
-			return err
+			return base, err
 		}
 	}
 	if len(payloads) == 0 {
-		return errors.Wrap(ErrDamaged, "the journal has no frames")
+		return base, errors.Wrap(ErrDamaged, "the journal has no frames")
 	}
 	stored.Entries = entriesAfter(stored.Snapshot, base, entries)
-	return nil
+	return base, nil
 }
 
 // appendEntries appends the added entries to entries, which start after base. An entry whose
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -90,6 +90,60 @@
 
 // TestTornWriteIsTruncated cuts the file at every byte of its last frame, as a crash during a
 // write may do. The frames before it must be kept, and new ones appended.
+// TestCrashBetweenSnapshotAndJournalKeepsLaterEntries guards against a replica that never starts again: after a
+// crash between the two, it went on with the journal of before the snapshot, and the next start found its entries
+// out of sequence.
+func TestCrashBetweenSnapshotAndJournalKeepsLaterEntries(t *testing.T) {
+	snapshot := replicator.Snapshot{Index: 7, Term: 2, Members: replicator.Membership{{ID: "a", Name: "a", Voter: true}}, Data: []byte("state")}
+	tests := []struct {
+		name string
+		// journaled is the last entry in the journal of before the snapshot.
+		journaled uint64
+		// kept are the entries after the snapshot that were journaled.
+		kept []replicator.Entry
+	}{
+		{"snapshot of the leader, empty journal", 0, nil},
+		{"snapshot of the leader", 3, nil},
+		{"own snapshot", 7, nil},
+		{"own snapshot with entries after it", 9, entries(8, 9, 2)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			folder := t.TempDir()
+			j, _ := open(t, folder)
+			state := replicator.HardState{Term: 2, Vote: "a"}
+			persist(t, j, replicator.Output{State: &state, Entries: entries(1, tt.journaled, 2)})
+			before, err := os.ReadFile(filepath.Join(folder, journalName))
+			assert.NilError(t, err)
+			assert.NilError(t, j.StoreSnapshot(snapshot, tt.kept))
+			assert.NilError(t, os.WriteFile(filepath.Join(folder, journalName), before, fileMode)) // the crash came first
+			next := uint64(len(tt.kept)) + 8
+			for range 3 { // each start must accept what the one before has written
+				again, stored := open(t, folder)
+				assert.DeepEqual(t, stored.State, state)
+				assert.DeepEqual(t, stored.Snapshot, snapshot)
+				assert.DeepEqual(t, append([]replicator.Entry(nil), stored.Entries...), entries(8, next-1, 2))
+				persist(t, again, replicator.Output{Entries: entries(next, next, 2)})
+				next++
+			}
+		})
+	}
+}
+
+// TestJournalAfterItsSnapshotIsAnError guards against entries that are lost silently: a journal whose base is later
+// than the snapshot belongs to a snapshot that is gone.
+func TestJournalAfterItsSnapshotIsAnError(t *testing.T) {
+	folder := t.TempDir()
+	j, _ := open(t, folder)
+	assert.NilError(t, j.StoreSnapshot(replicator.Snapshot{Index: 3, Term: 1, Data: []byte("old")}, nil))
+	before, err := os.ReadFile(filepath.Join(folder, snapshotName))
+	assert.NilError(t, err)
+	assert.NilError(t, j.StoreSnapshot(replicator.Snapshot{Index: 7, Term: 2, Data: []byte("new")}, entries(8, 9, 2)))
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, snapshotName), before, fileMode))
+	_, _, err = Open(folder)
+	assert.ErrorIs(t, err, ErrDamaged)
+}
+
 func TestTornWriteIsTruncated(t *testing.T) {
 	folder := t.TempDir()
 	j, _ := open(t, folder)
