--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -180,7 +180,7 @@
 // earlier one: an endpoint may write a response again.
 func (f *Forwarder) connectionPolicy(d balancer.Dispatch, r Request) balancer.ConnectionPolicy {
 	policy := d.ConnectionPolicy
-	if f.protocol.Unidentified != nil && f.protocol.Unidentified(r.Header) {
+	if !f.mayReuse(r.Header) {
 		policy.MaxIdle = noIdle
 	}
 	return policy
--- a/entry/keeper/connection.go
+++ b/entry/keeper/connection.go
@@ -133,8 +133,9 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // any end of it is good
 }
 
-// SetReadDeadline implements net.Conn. It leaves the deadline of an abandoned connection as it is. Where the server waits for a request, or for its header,
-// the timeout in effect replaces the server's own.
+// SetReadDeadline implements net.Conn. Where the server waits for a request, or for its header,
+// the timeout in effect replaces the server's own. The deadline of an abandoned connection stays
+// in the past.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	if c.isAbandoned() {
 		return nil
