Send the soak's signals to the incarnation they are meant for

A SIGSTOP or SIGCONT could reach the new process. The signals of a pause, and the SIGQUIT of a stop that hangs, are now sent under the lock that a start takes, to the incarnation that was meant.

--- a/soaker/runner/host.go
+++ b/soaker/runner/host.go
@@ -127,7 +127,17 @@
 		h.check.AddViolation("%s has not ended %s after its planned stop; see its log", h.process.Name, stopTimeout)
 	}
 	h.markInterrupted()
-	_ = h.process.Signal(syscall.SIGQUIT) // the process may just have ended
+	h.signal(incarnation, syscall.SIGQUIT)
+}
+
+// signal sends a signal to an incarnation, unless that has ended. It holds the lock meanwhile, so that the next
+// incarnation can't start and get the signal instead.
+func (h *host) signal(incarnation int, signal syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running && h.incarnation == incarnation {
+		_ = h.process.Signal(signal) // the process may just have ended
+	}
 }
 
 func (h *host) isListening() bool {
@@ -160,11 +170,9 @@
 	h.markInterrupted()
 	h.check.Excused(time.Now(), processID(h, incarnation))
 	defer func() { h.check.Excused(time.Now(), processID(h, incarnation)) }()
-	_ = h.process.Signal(syscall.SIGSTOP) // the process may have ended
+	h.signal(incarnation, syscall.SIGSTOP)
 	time.Sleep(duration)
-	if now, _ := h.state(); now == incarnation {
-		_ = h.process.Signal(syscall.SIGCONT) // the process may have ended
-	}
+	h.signal(incarnation, syscall.SIGCONT)
 }
 
 // tearJournals appends an incomplete record to each journal.
