Send the first part of the tests' uploads at once

Cause: in the test. The caller paced its body from the first byte, and the 64 KiB that are read ahead took longer than the deadline of 150 ms; a 408 is right for that. The first 100,000 bytes now come at once and the rest is paced, with a deadline of 500 ms within a body of 750 ms.

--- a/entry/dispatcher/body_test.go
+++ b/entry/dispatcher/body_test.go
@@ -21,8 +21,9 @@
 	uploadBytes = 400_000
 	// earlyBytes is how much of a body an endpoint reads before it responds early.
 	earlyBytes    = 100_000
+	// The first earlyBytes are sent at once, the rest in pieces.
 	pieceBytes    = 8_000
-	pieceInterval = 5 * time.Millisecond
+	pieceInterval = 20 * time.Millisecond
 )
 
 // positionedBody returns a body in which each eight bytes tell their position.
@@ -137,6 +138,11 @@
 		return err
 	}
 	data := positionedBody(uploadBytes)[:size]
+	first := min(len(data), earlyBytes)
+	if _, err := body.Write(data[:first]); err != nil {
+		return err
+	}
+	data = data[first:]
 	for len(data) > 0 {
 		n := min(len(data), pieceBytes)
 		if _, err := body.Write(data[:n]); err != nil {
@@ -224,7 +230,7 @@
 		// size is how much of the body the caller sends.
 		size, status int
 	}{
-		{"endpoint that doesn't respond", silent, "Comfreyplank-Timeout-Ms: 150\r\n", uploadBytes, 504},
+		{"endpoint that doesn't respond", silent, "Comfreyplank-Timeout-Ms: 500\r\n", uploadBytes, 504},
 		{"endpoint that doesn't respond to a body that stalls", silent, "Comfreyplank-Timeout-Ms: 300\r\n", 2 * earlyBytes, 504},
 		{"endpoint that refuses", refusal, "", uploadBytes, 503},
 		{"endpoint that refuses a body that stalls", refusal, "", 2 * earlyBytes, 503},
