--- a/entry/dispatcher/body_test.go
+++ b/entry/dispatcher/body_test.go
@@ -20,7 +20,7 @@
 const (
 	uploadBytes = 400_000
 	// earlyBytes is how much of a body an endpoint reads before it responds early.
-	earlyBytes    = 100_000
+	earlyBytes = 100_000
 	// The first earlyBytes are sent at once, the rest in pieces.
 	pieceBytes    = 8_000
 	pieceInterval = 20 * time.Millisecond
