--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -246,8 +246,9 @@
 func (c *Controller) startGroup(now time.Time, id messenger.Group, stored replicator.Stored) error {
 	source := rand.New(rand.NewPCG(c.rand.Uint64(), c.rand.Uint64()))
 	g := c.group(id)
-	check := func(data []byte) (err error) {
-		g.received, err = c.decodeState(id, data)
+	check := func(data []byte) error {
+		state, err := c.decodeState(id, data)
+		g.received = receivedState{data, state}
 		return err
 	}
 	replica, err := replicator.New(now, c.self.ID, stored, replicator.WithRand(source), replicator.WithSnapshotCheck(check))
@@ -269,6 +270,17 @@
 	claimer   *claimer.Claimer
 }
 
+// receivedState is the state that was decoded from the data of a snapshot.
+type receivedState struct {
+	data  []byte
+	state groupState
+}
+
+// isFrom reports whether the state was decoded from this data, by identity.
+func (r receivedState) isFrom(data []byte) bool {
+	return len(r.data) == len(data) && len(data) > 0 && &r.data[0] == &data[0]
+}
+
 // decodeState decodes the state of a group from a snapshot.
 func (c *Controller) decodeState(id messenger.Group, data []byte) (s groupState, err error) {
 	if id == messenger.GroupClaims {
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -19,7 +19,7 @@
 	// goes into the next Output.
 	persisting bool
 	// received is the state of the last snapshot that the leader sent, until it is in effect.
-	received groupState
+	received receivedState
 }
 
 func (c *Controller) group(id messenger.Group) *group {
@@ -120,8 +120,16 @@
 }
 
 func (c *Controller) installSnapshot(now time.Time, g *group, s replicator.Snapshot) {
-	c.replaceState(g.received)
-	g.received = groupState{}
+	received := g.received
+	g.received = receivedState{}
+	if !received.isFrom(s.Data) { // a later snapshot has arrived while this one was stored
+		state, err := c.decodeState(g.id, s.Data)
+		if err != nil {
+			panic(err) // can't happen: it was decoded before it replaced the log
+		}
+		received.state = state
+	}
+	c.replaceState(received.state)
 	g.applied = s.Index
 	if g.id == messenger.GroupConfig {
 		c.announceDepartures(now)
