--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -39,7 +38,7 @@
 	// latestEndpoints and latestCommitted hold the latest values that are not yet stored.
 	latestEndpoints chan []registrar.Announcement
 	latestCommitted chan replicator.Position
-	folder          string
+	disk            *journaler.Disk
 	lock            *journaler.Lock
 	group           *sync.WaitGroup
 	failed          chan error
@@ -124,7 +123,7 @@
 		journals:         make(map[messenger.Group]*journalWriter),
 		latestEndpoints:  make(chan []registrar.Announcement, 1),
 		latestCommitted:  make(chan replicator.Position, 1),
-		folder:           folder,
+		disk:             journaler.New(folder),
 		lock:             lock,
 		group:            group,
 		failed:           make(chan error, 1),
@@ -133,7 +132,7 @@
 		pendingReads:     make(map[uint64]chan controller.DocumentReply),
 		pendingAnnounces: make(map[uint64]chan controller.AnnounceReply),
 	}
-	state, id, err := d.open(folder)
+	state, id, err := d.open()
 	if err != nil {
 		lock.Release()
 		return nil, err
@@ -147,18 +146,18 @@
 	return d, nil
 }
 
-func (d *Driver) open(folder string) (controller.StoredState, replicator.ID, error) {
+func (d *Driver) open() (controller.StoredState, replicator.ID, error) {
 	var state controller.StoredState
 	logs := make([]string, 0, len(messenger.Groups))
 	for _, g := range messenger.Groups {
 		logs = append(logs, g.String())
 	}
-	id, err := journaler.Identity(folder, logs...)
+	id, err := d.disk.Identity(logs...)
 	if err != nil {
 		return state, "", err
 	}
 	for _, g := range messenger.Groups {
-		journal, stored, err := journaler.Open(filepath.Join(folder, g.String()))
+		journal, stored, err := d.disk.Open(g.String())
 		if err != nil {
 			return state, "", err
 		}
@@ -169,10 +168,10 @@
 		}
 		state.Config = stored
 	}
-	if state.Endpoints, err = journaler.LoadEndpoints(folder); err != nil {
+	if state.Endpoints, err = d.disk.LoadEndpoints(); err != nil {
 		slog.Warn("the stored endpoints are ignored", "error", err)
 	}
-	if state.Config.Committed, err = journaler.LoadCommitted(folder); err != nil {
+	if state.Config.Committed, err = d.disk.LoadCommitted(); err != nil {
 		slog.Warn("the stored commit position is ignored", "error", err)
 	}
 	return state, id, nil
@@ -311,11 +310,11 @@
 		case <-ctx.Done():
 			return
 		case list := <-d.latestEndpoints:
-			if err := journaler.StoreEndpoints(d.folder, list); err != nil {
+			if err := d.disk.StoreEndpoints(list); err != nil {
 				slog.Warn("the endpoints could not be stored", "error", err)
 			}
 		case p := <-d.latestCommitted:
-			if err := journaler.StoreCommitted(d.folder, p); err != nil {
+			if err := d.disk.StoreCommitted(p); err != nil {
 				slog.Warn("the commit position could not be stored", "error", err)
 			}
 		}
--- a/control/journaler/committed.go
+++ b/control/journaler/committed.go
@@ -13,18 +13,18 @@
 
 // StoreCommitted stores the commit position of the configuration log, in place of the one stored
 // before.
-func StoreCommitted(folder string, p replicator.Position) error {
+func (d *Disk) StoreCommitted(p replicator.Position) error {
 	payload, err := encoder.EncodeFrame(encoder.Frame{Base: &encoder.Base{Index: p.Index, Term: p.Term}})
 	if err != nil {
 		return err
 	}
-	return writeFrameFile(filepath.Join(folder, committedName), payload)
+	return writeFrameFile(d.files, filepath.Join(d.folder, committedName), payload)
 }
 
 // LoadCommitted returns the commit position that was stored last, or the zero position if there
 // is none.
-func LoadCommitted(folder string) (replicator.Position, error) {
-	payload, err := readFrameFile(filepath.Join(folder, committedName))
+func (d *Disk) LoadCommitted() (replicator.Position, error) {
+	payload, err := readFrameFile(d.files, filepath.Join(d.folder, committedName))
 	if err != nil || payload == nil {
 		return replicator.Position{}, err
 	}
--- /dev/null
+++ b/control/journaler/disk.go
@@ -0,0 +1,108 @@
+package journaler
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"comfreyplank.org/core/replicator"
+)
+
+// Disk is the data folder of a replica.
+type Disk struct {
+	folder string
+	files  fileSystem
+}
+
+// Option configures a Disk.
+type Option func(*Disk)
+
+// withFiles replaces the file system.
+func withFiles(files fileSystem) Option { return func(d *Disk) { d.files = files } }
+
+// New returns the disk with the given data folder.
+func New(folder string, opts ...Option) *Disk {
+	d := &Disk{folder: folder, files: systemFiles{}}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Open reads a log of the replica. A log that does not exist is created empty. Open truncates and logs a torn last
+// write, and returns an error for any other damage.
+func (d *Disk) Open(log string) (*Journal, replicator.Stored, error) {
+	return openJournal(d.files, filepath.Join(d.folder, log))
+}
+
+// readFrameFile returns the payload of a file that holds one frame, or nil if the file does not
+// exist.
+func readFrameFile(files fileSystem, path string) ([]byte, error) {
+	data, err := files.readFile(path)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read "+filepath.Base(path))
+	}
+	payload, rest, ok := parseFrame(data)
+	if !ok || len(rest) > 0 {
+		return nil, errors.Wrap(ErrDamaged, filepath.Base(path))
+	}
+	return payload, nil
+}
+
+// writeFrameFile replaces a file by one with a single frame that holds the payload.
+func writeFrameFile(files fileSystem, path string, payload []byte) error {
+	data, err := frame(payload)
+	if err != nil {
+		return err
+	}
+	return replaceFile(files, path, data)
+}
+
+// replaceFile replaces the content of a file atomically: after a crash, the file has either the
+// old or the new content.
+func replaceFile(files fileSystem, path string, data []byte) error {
+	temporary := path + temporarySuffix
+	if err := writeFile(files, temporary, data); err != nil {
+		return errors.Wrapf(err, "replace %s", filepath.Base(path))
+	}
+	if err := files.rename(temporary, path); err != nil {
+		return errors.Wrapf(err, "replace %s", filepath.Base(path))
+	}
+	return files.syncFolder(filepath.Dir(path))
+}
+
+// writeFile writes and syncs a file.
+func writeFile(files fileSystem, path string, data []byte) error {
+	f, err := files.openFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	_, err = f.WriteAt(data, 0)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// makeDataFolder creates the data folder if it does not exist.
+func makeDataFolder(files fileSystem, path string) error {
+	if files.exists(path) {
+		return nil // the operator provided the folder, and its parent is not ours to sync
+	}
+	return makeFolder(files, path)
+}
+
+// makeFolder creates a folder that persists after a power failure.
+func makeFolder(files fileSystem, path string) error {
+	if err := files.makeFolders(path); err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	return files.syncFolder(filepath.Dir(path))
+}
--- a/control/journaler/endpoints.go
+++ b/control/journaler/endpoints.go
@@ -10,17 +10,17 @@
 const endpointsName = "endpoints"
 
 // StoreEndpoints stores the endpoints that a replica knows, in place of those stored before.
-func StoreEndpoints(folder string, endpoints []registrar.Announcement) error {
+func (d *Disk) StoreEndpoints(endpoints []registrar.Announcement) error {
 	payload, err := encoder.EncodeAnnouncements(endpoints)
 	if err != nil {
 		return err
 	}
-	return writeFrameFile(filepath.Join(folder, endpointsName), payload)
+	return writeFrameFile(d.files, filepath.Join(d.folder, endpointsName), payload)
 }
 
 // LoadEndpoints returns the endpoints that were stored last, if any.
-func LoadEndpoints(folder string) ([]registrar.Announcement, error) {
-	payload, err := readFrameFile(filepath.Join(folder, endpointsName))
+func (d *Disk) LoadEndpoints() ([]registrar.Announcement, error) {
+	payload, err := readFrameFile(d.files, filepath.Join(d.folder, endpointsName))
 	if err != nil || payload == nil {
 		return nil, err
 	}
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -28,21 +28,20 @@
 // Journal stores one replicated log: its snapshot, and the journal of the entries after it. It is
 // not safe for concurrent use.
 type Journal struct {
+	files  fileSystem
 	folder string
-	file   *os.File
+	file   file
 	// size is the length of the synced frames in the file.
 	size int64
 	// state is the latest hard state, with which a new file starts.
 	state replicator.HardState
 }
 
-// Open reads a log from its folder. An empty folder gives an empty log. Open truncates and logs a
-// torn last write, and returns an error for any other damage.
-func Open(folder string) (*Journal, replicator.Stored, error) {
-	if err := makeFolder(folder); err != nil {
+func openJournal(files fileSystem, folder string) (*Journal, replicator.Stored, error) {
+	if err := makeFolder(files, folder); err != nil {
 		return nil, replicator.Stored{}, err
 	}
-	j := &Journal{folder: folder}
+	j := &Journal{files: files, folder: folder}
 	stored, err := j.load()
 	if err != nil {
 		return nil, replicator.Stored{}, errors.Wrapf(err, "open %s", folder)
@@ -60,7 +59,7 @@
 		return stored, err
 	}
 	stored.Snapshot = snapshot
-	data, err := os.ReadFile(j.path(journalName))
+	data, err := j.files.readFile(j.path(journalName))
 	if os.IsNotExist(err) {
 		if snapshot.Index != 0 {
 			return stored, errors.Wrap(ErrDamaged, "there is a snapshot but no journal")
@@ -94,16 +93,9 @@
 }
 
 func (j *Journal) loadSnapshot() (replicator.Snapshot, error) {
-	data, err := os.ReadFile(j.path(snapshotName))
-	if os.IsNotExist(err) {
-		return replicator.Snapshot{}, nil
-	}
-	if err != nil {
-		return replicator.Snapshot{}, errors.Wrap(err, "read snapshot")
-	}
-	payload, rest, ok := parseFrame(data)
-	if !ok || len(rest) > 0 {
-		return replicator.Snapshot{}, errors.Wrap(ErrDamaged, snapshotName)
+	payload, err := readFrameFile(j.files, j.path(snapshotName))
+	if err != nil || payload == nil {
+		return replicator.Snapshot{}, err
 	}
 	return encoder.DecodeSnapshot(payload)
 }
@@ -168,7 +160,7 @@
 
 // openFile opens the journal for further frames, and truncates a torn one.
 func (j *Journal) openFile(valid, size int64) error {
-	file, err := os.OpenFile(j.path(journalName), os.O_RDWR, fileMode)
+	file, err := j.files.openFile(j.path(journalName), os.O_RDWR)
 	if err != nil {
 		return errors.Wrap(err, "open journal")
 	}
@@ -234,7 +226,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeFrameFile(j.path(snapshotName), payload); err != nil {
+	if err := writeFrameFile(j.files, j.path(snapshotName), payload); err != nil {
 		return err
 	}
 	return j.createFile(j.state, encoder.Base{Index: s.Index, Term: s.Term}, tail)
@@ -256,7 +248,7 @@
 	if err != nil {
 		return err
 	}
-	if err := replaceFile(j.path(journalName), data); err != nil {
+	if err := replaceFile(j.files, j.path(journalName), data); err != nil {
 		return err
 	}
 	if j.file != nil {
@@ -267,54 +259,3 @@
 
 // Close closes the journal.
 func (j *Journal) Close() error { return errors.Wrap(j.file.Close(), "close journal") }
-
-// replaceFile replaces the content of a file atomically: after a crash, the file has either the
-// old or the new content.
-func replaceFile(path string, data []byte) error {
-	file, err := os.OpenFile(path+temporarySuffix, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
-	if err != nil {
-		return errors.Wrap(err, "create file")
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil {
-		err = os.Rename(path+temporarySuffix, path)
-	}
-	if err != nil {
-		return errors.Wrapf(err, "replace %s", filepath.Base(path))
-	}
-	return syncFolder(filepath.Dir(path))
-}
-
-// makeDataFolder creates the data folder if it does not exist.
-func makeDataFolder(path string) error {
-	if _, err := os.Stat(path); err == nil {
-		return nil // the operator provided the folder, and its parent is not ours to sync
-	}
-	return makeFolder(path)
-}
-
-// makeFolder creates a folder that persists after a power failure.
-func makeFolder(path string) error {
-	if err := os.MkdirAll(path, folderMode); err != nil {
-		return errors.Wrap(err, "make folder")
-	}
-	return syncFolder(filepath.Dir(path))
-}
-
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "open folder")
-	}
-	err = folder.Sync()
-	if closeErr := folder.Close(); err == nil {
-		err = closeErr
-	}
-	return errors.Wrap(err, "sync folder")
-}
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -21,7 +21,7 @@
 
 func open(t *testing.T, folder string) (*Journal, replicator.Stored) {
 	t.Helper()
-	j, stored, err := Open(folder)
+	j, stored, err := New(folder).Open("")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = j.Close() })
 	return j, stored
@@ -88,8 +88,6 @@
 	}
 }
 
-// TestTornWriteIsTruncated cuts the file at every byte of its last frame, as a crash during a
-// write may do. The frames before it must be kept, and new ones appended.
 // TestCrashBetweenSnapshotAndJournalKeepsLaterEntries guards against a replica that never starts again: after a
 // crash between the two, it went on with the journal of before the snapshot, and the next start found its entries
 // out of sequence.
@@ -140,10 +138,12 @@
 	assert.NilError(t, err)
 	assert.NilError(t, j.StoreSnapshot(replicator.Snapshot{Index: 7, Term: 2, Data: []byte("new")}, entries(8, 9, 2)))
 	assert.NilError(t, os.WriteFile(filepath.Join(folder, snapshotName), before, fileMode))
-	_, _, err = Open(folder)
+	_, _, err = New(folder).Open("")
 	assert.ErrorIs(t, err, ErrDamaged)
 }
 
+// TestTornWriteIsTruncated cuts the file at every byte of its last frame, as a crash during a
+// write may do. The frames before it must be kept, and new ones appended.
 func TestTornWriteIsTruncated(t *testing.T) {
 	folder := t.TempDir()
 	j, _ := open(t, folder)
@@ -179,7 +179,7 @@
 		damaged[offset] ^= 0x20
 		copied := t.TempDir()
 		assert.NilError(t, os.WriteFile(filepath.Join(copied, journalName), damaged, fileMode))
-		_, _, err := Open(copied)
+		_, _, err := New(copied).Open("")
 		assert.ErrorIs(t, err, ErrDamaged, "byte %d", offset)
 	}
 }
@@ -189,7 +189,7 @@
 	j, _ := open(t, folder)
 	assert.NilError(t, j.StoreSnapshot(replicator.Snapshot{Index: 7, Term: 2}, nil))
 	assert.NilError(t, os.Remove(j.path(journalName)))
-	_, _, err := Open(folder)
+	_, _, err := New(folder).Open("")
 	assert.ErrorIs(t, err, ErrDamaged)
 }
 
@@ -210,12 +210,12 @@
 
 func TestIdentityIsPerDataFolder(t *testing.T) {
 	folder := t.TempDir()
-	first, err := Identity(folder)
+	first, err := New(folder).Identity()
 	assert.NilError(t, err)
-	again, err := Identity(folder)
+	again, err := New(folder).Identity()
 	assert.NilError(t, err)
 	assert.Equal(t, first, again)
-	other, err := Identity(t.TempDir())
+	other, err := New(t.TempDir()).Identity()
 	assert.NilError(t, err)
 	assert.Assert(t, first != other)
 }
@@ -225,18 +225,18 @@
 func TestLostJournalCreatesNewIdentity(t *testing.T) {
 	folder := t.TempDir()
 	logs := []string{"config", "claims"}
-	first, err := Identity(folder, logs...)
+	first, err := New(folder).Identity(logs...)
 	assert.NilError(t, err)
 	for _, log := range logs {
 		j, _ := open(t, filepath.Join(folder, log))
 		persist(t, j, replicator.Output{State: &replicator.HardState{Term: 3, Vote: first}})
 		assert.NilError(t, j.Close())
 	}
-	again, err := Identity(folder, logs...)
+	again, err := New(folder).Identity(logs...)
 	assert.NilError(t, err)
 	assert.Equal(t, first, again)
 	assert.NilError(t, os.RemoveAll(filepath.Join(folder, "config")))
-	next, err := Identity(folder, logs...)
+	next, err := New(folder).Identity(logs...)
 	assert.NilError(t, err)
 	assert.Assert(t, next != first)
 	_, stored := open(t, filepath.Join(folder, "claims"))
@@ -282,44 +282,44 @@
 
 func TestNewIdentityRemovesEndpoints(t *testing.T) {
 	folder := t.TempDir()
-	_, err := Identity(folder)
+	_, err := New(folder).Identity()
 	assert.NilError(t, err)
-	none, err := LoadEndpoints(folder)
+	none, err := New(folder).LoadEndpoints()
 	assert.NilError(t, err)
 	assert.Equal(t, len(none), 0)
 	want := []registrar.Announcement{{Name: registrar.Name{Service: "s", Endpoint: "e"}, Address: "127.0.0.1:1", State: registrar.StateServing, Incarnation: 3}}
-	assert.NilError(t, StoreEndpoints(folder, want))
-	got, err := LoadEndpoints(folder)
+	assert.NilError(t, New(folder).StoreEndpoints(want))
+	got, err := New(folder).LoadEndpoints()
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want)
 	assert.NilError(t, os.WriteFile(filepath.Join(folder, endpointsName), []byte("torn"), fileMode))
-	_, err = LoadEndpoints(folder)
+	_, err = New(folder).LoadEndpoints()
 	assert.ErrorIs(t, err, ErrDamaged)
-	_, err = Identity(folder, "lost")
+	_, err = New(folder).Identity("lost")
 	assert.NilError(t, err)
-	none, err = LoadEndpoints(folder)
+	none, err = New(folder).LoadEndpoints()
 	assert.NilError(t, err)
 	assert.Equal(t, len(none), 0)
 }
 
 func TestNewIdentityRemovesCommittedPosition(t *testing.T) {
 	folder := t.TempDir()
-	_, err := Identity(folder)
+	_, err := New(folder).Identity()
 	assert.NilError(t, err)
-	none, err := LoadCommitted(folder)
+	none, err := New(folder).LoadCommitted()
 	assert.NilError(t, err)
 	assert.Equal(t, none, replicator.Position{})
 	position := replicator.Position{Index: 7, Term: 3}
-	assert.NilError(t, StoreCommitted(folder, position))
-	got, err := LoadCommitted(folder)
+	assert.NilError(t, New(folder).StoreCommitted(position))
+	got, err := New(folder).LoadCommitted()
 	assert.NilError(t, err)
 	assert.Equal(t, got, position)
 	assert.NilError(t, os.WriteFile(filepath.Join(folder, committedName), []byte("torn"), fileMode))
-	_, err = LoadCommitted(folder)
+	_, err = New(folder).LoadCommitted()
 	assert.ErrorIs(t, err, ErrDamaged)
-	_, err = Identity(folder, "lost")
+	_, err = New(folder).Identity("lost")
 	assert.NilError(t, err)
-	none, err = LoadCommitted(folder)
+	none, err = New(folder).LoadCommitted()
 	assert.NilError(t, err)
 	assert.Equal(t, none, replicator.Position{})
 }
--- a/control/journaler/lock.go
+++ b/control/journaler/lock.go
@@ -18,7 +18,7 @@
 
 // NewLock locks a data folder, and creates the folder if it does not exist.
 func NewLock(folder string) (*Lock, error) {
-	if err := makeDataFolder(folder); err != nil {
+	if err := makeDataFolder(systemFiles{}, folder); err != nil {
 		return nil, err
 	}
 	file, err := os.OpenFile(filepath.Join(folder, lockName), os.O_RDWR|os.O_CREATE, fileMode)
