Keep the name of a data folder after a first start that was killed (CONFIG)

Seen: a replica that was killed in its first start, between making its data folder and syncing the folder around it, lost its identity and all that it stored later at the next loss of power. Cause: a start took an existing data folder for one of the operator's, and did not sync its name. Fix: a start that finds no identity syncs it, whoever made the folder; where the folder around it belongs to others, it says so. The lock no longer makes the folder persist; the identity does. Evidence: TestKilledStartsLoseNothingLater, on a file system in memory that loses what was not synced, failed before: the third start had another identity than the second.

--- a/control/journaler/disk.go
+++ b/control/journaler/disk.go
@@ -1,10 +1,13 @@
 package journaler
 
 import (
+	"io/fs"
+	"log/slog"
 	"os"
 	"path/filepath"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"comfreyplank.org/core/replicator"
 )
@@ -91,12 +94,15 @@
 	return err
 }
 
-// makeDataFolder creates the data folder if it does not exist.
-func makeDataFolder(files fileSystem, path string) error {
-	if files.exists(path) {
-		return nil // the operator provided the folder, and its parent is not ours to sync
+// keepDataFolder makes the name of a data folder that holds no identity yet persist. An earlier start may have created
+// the folder and ended before it did so.
+func keepDataFolder(files fileSystem, path string) error {
+	err := makeFolder(files, path)
+	if errors.Is(err, fs.ErrPermission) || errors.Is(err, unix.EROFS) {
+		slog.Warn("the folder around the data folder can't be synced; whoever made the data folder must have done so", "folder", path, "error", err)
+		return nil
 	}
-	return makeFolder(files, path)
+	return err
 }
 
 // makeFolder creates a folder that persists after a power failure.
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -14,9 +14,6 @@
 // empty folder. If the journal of one of its logs is missing, the replica may have lost a vote.
 // It then gets a new identity, and so becomes a new member.
 func (d *Disk) Identity(logs ...string) (replicator.ID, error) {
-	if err := makeDataFolder(d.files, d.folder); err != nil {
-		return "", err
-	}
 	id, err := d.readIdentity()
 	if err != nil {
 		return "", err
@@ -47,6 +44,9 @@
 
 // newIdentity creates an identity, and removes all data of the former one.
 func (d *Disk) newIdentity(logs []string) (replicator.ID, error) {
+	if err := keepDataFolder(d.files, d.folder); err != nil {
+		return "", err
+	}
 	for _, log := range logs {
 		if err := d.files.removeAll(filepath.Join(d.folder, log)); err != nil {
 			return "", errors.Wrap(err, "remove former journal")
--- /dev/null
+++ b/control/journaler/killed_test.go
@@ -0,0 +1,85 @@
+package journaler
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/replicator"
+)
+
+const dataFolder = "/disk/data"
+
+var replicatedLogs = []string{"config", "claims"}
+
+// replica is the part of a control replica that uses the disk.
+type replica struct {
+	id       replicator.ID
+	journals []*Journal
+	stored   []replicator.Stored
+}
+
+// start starts a replica, as the driver does.
+func start(files fileSystem) (replica, error) {
+	d := New(dataFolder, withFiles(files))
+	id, err := d.Identity(replicatedLogs...)
+	if err != nil {
+		return replica{}, err
+	}
+	r := replica{id: id}
+	for _, log := range replicatedLogs {
+		journal, stored, err := d.Open(log)
+		if err != nil {
+			return replica{}, err
+		}
+		r.journals = append(r.journals, journal)
+		r.stored = append(r.stored, stored)
+	}
+	return r, nil
+}
+
+// TestKilledStartsLoseNothingLater guards against a replica that trusts what it finds although nothing has synced it:
+// it told others what it had stored, and a later loss of power took it away.
+func TestKilledStartsLoseNothingLater(t *testing.T) {
+	tests := []struct {
+		name string
+		// killedBefore is the operation before which the first process is killed.
+		killedBefore string
+	}{
+		{"name of the data folder", "sync /disk"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var killed *crashDisk
+			disk := newCrashDisk()
+			disk.before = func(operation string) {
+				if operation == tt.killedBefore && killed == nil {
+					killed = disk.clone()
+				}
+			}
+			writeSome(t, disk)
+			assert.Assert(t, killed != nil)
+			second := writeSome(t, killed)
+			third, err := start(killed.losePower(keepNothing))
+			assert.NilError(t, err)
+			assert.Equal(t, third.id, second.id)
+			assert.DeepEqual(t, third.stored, second.stored)
+		})
+	}
+}
+
+// writeSome starts a replica that adds an entry to each log, and returns what it has stored.
+func writeSome(t *testing.T, disk *crashDisk) replica {
+	t.Helper()
+	r, err := start(disk)
+	assert.NilError(t, err)
+	for i, journal := range r.journals {
+		stored := &r.stored[i]
+		stored.State = replicator.HardState{Term: stored.State.Term + 1}
+		next := uint64(len(stored.Entries)) + 1
+		added := entries(next, next, stored.State.Term)
+		assert.NilError(t, journal.Persist(replicator.Output{State: &stored.State, Entries: added}))
+		stored.Entries = append(stored.Entries, added...)
+	}
+	return r
+}
--- a/control/journaler/lock.go
+++ b/control/journaler/lock.go
@@ -18,8 +18,8 @@
 
 // NewLock locks a data folder, and creates the folder if it does not exist.
 func NewLock(folder string) (*Lock, error) {
-	if err := makeDataFolder(systemFiles{}, folder); err != nil {
-		return nil, err
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "make data folder")
 	}
 	file, err := os.OpenFile(filepath.Join(folder, lockName), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
