Sync the names in a log's folder at each start (CONFIG)

At the next loss of power the old file was back, or none, and with it the replica's identity. Cause: a start read the files of the folder and trusted their names, which nothing had synced. Fix: a start syncs the folder of each log before it goes on. Evidence: TestKilledStartsLoseNothingLater/name_of_the_last_journal failed before.

--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -89,6 +89,10 @@
 	case base.Index < s.Index || base.Term != s.Term:
 		return j.createFile(stored.State, encoder.Base{Index: s.Index, Term: s.Term}, stored.Entries)
 	}
+	// An earlier process may have ended after it replaced a file and before it synced the name.
+	if err := j.files.syncFolder(j.folder); err != nil {
+		return err
+	}
 	return j.openFile(valid, size)
 }
 
--- a/control/journaler/killed_test.go
+++ b/control/journaler/killed_test.go
@@ -47,6 +47,9 @@
 		killedBefore string
 	}{
 		{"name of the data folder", "sync /disk"},
+		{"name of the identity", "sync /disk/data"},
+		{"name of a journal", "sync /disk/data/config"},
+		{"name of the last journal", "sync /disk/data/claims"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
