--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -89,11 +89,22 @@
 	case base.Index < s.Index || base.Term != s.Term:
 		return j.createFile(stored.State, encoder.Base{Index: s.Index, Term: s.Term}, stored.Entries)
 	}
-	// An earlier process may have ended after it replaced a file and before it synced the name.
-	if err := j.files.syncFolder(j.folder); err != nil {
+	if err := j.openFile(valid); err != nil {
 		return err
 	}
-	return j.openFile(valid, size)
+	if err := j.truncate(size); err != nil {
+		return err
+	}
+	return j.syncFound()
+}
+
+// syncFound syncs what was read: an earlier process may have ended after a write and before its sync, or after it
+// replaced a file and before it synced the name.
+func (j *Journal) syncFound() error {
+	if err := j.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync journal")
+	}
+	return j.files.syncFolder(j.folder)
 }
 
 func (j *Journal) loadSnapshot() (replicator.Snapshot, error) {
@@ -162,27 +173,24 @@
 	return nil
 }
 
-// openFile opens the journal for further frames, and truncates a torn one.
-func (j *Journal) openFile(valid, size int64) error {
+// openFile opens the journal for further frames after the given size.
+func (j *Journal) openFile(size int64) error {
 	file, err := j.files.openFile(j.path(journalName), os.O_RDWR)
 	if err != nil {
 		return errors.Wrap(err, "open journal")
 	}
 	j.file = file
-	j.size = valid
-	if valid == size {
-		return nil
-	}
-	slog.Warn("the last write to the journal was torn and is truncated", "folder", j.folder, "bytes", size-valid)
-	return j.truncate()
+	j.size = size
+	return nil
 }
 
-// truncate removes the data after the synced frames.
-func (j *Journal) truncate() error {
-	if err := j.file.Truncate(j.size); err != nil {
-		return errors.Wrap(err, "cut journal")
+// truncate removes a torn frame after the valid ones.
+func (j *Journal) truncate(size int64) error {
+	if size == j.size {
+		return nil
 	}
-	return errors.Wrap(j.file.Sync(), "sync journal")
+	slog.Warn("the last write to the journal was torn and is truncated", "folder", j.folder, "bytes", size-j.size)
+	return errors.Wrap(j.file.Truncate(j.size), "cut journal")
 }
 
 // Persist writes and syncs the State, Snapshot and Entries of out. After an error, nothing of out
@@ -258,7 +266,7 @@
 	if j.file != nil {
 		_ = j.file.Close() // the file has been replaced
 	}
-	return j.openFile(int64(len(data)), int64(len(data)))
+	return j.openFile(int64(len(data)))
 }
 
 // Close closes the journal.
--- a/control/journaler/killed_test.go
+++ b/control/journaler/killed_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
 	"comfreyplank.org/core/replicator"
@@ -50,6 +51,7 @@
 		{"name of the identity", "sync /disk/data"},
 		{"name of a journal", "sync /disk/data/config"},
 		{"name of the last journal", "sync /disk/data/claims"},
+		{"last write to a journal", "sync /disk/data/config/journal"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -62,15 +64,23 @@
 			}
 			writeSome(t, disk)
 			assert.Assert(t, killed != nil)
-			second := writeSome(t, killed)
-			third, err := start(killed.losePower(keepNothing))
+			second, err := start(killed)
 			assert.NilError(t, err)
-			assert.Equal(t, third.id, second.id)
-			assert.DeepEqual(t, third.stored, second.stored)
+			assertSurvivesPowerLoss(t, killed, second)
+			assertSurvivesPowerLoss(t, killed, writeSome(t, killed))
 		})
 	}
 }
 
+// assertSurvivesPowerLoss checks that a replica starts with the same identity and state after a loss of power.
+func assertSurvivesPowerLoss(t *testing.T, disk *crashDisk, r replica) {
+	t.Helper()
+	again, err := start(disk.losePower(keepNothing))
+	assert.NilError(t, err)
+	assert.Equal(t, again.id, r.id)
+	assert.DeepEqual(t, again.stored, r.stored, cmpopts.EquateEmpty())
+}
+
 // writeSome starts a replica that adds an entry to each log, and returns what it has stored.
 func writeSome(t *testing.T, disk *crashDisk) replica {
 	t.Helper()
