--- a/control/journaler/crashdisk_test.go
+++ b/control/journaler/crashdisk_test.go
@@ -255,16 +255,25 @@
 	return result
 }
 
-// keep decides what a loss of power leaves of one change that was not synced, from 0, nothing, to 100, everything.
-type keep func() int
+// keep decides what a loss of power leaves of one change to a file that was not synced, from 0, nothing, to 100,
+// everything.
+type keep func(path string) int
 
-func keepNothing() int { return 0 }
+func keepNothing(string) int { return 0 }
+
+// keepJournals keeps changes to journals only.
+func keepJournals(path string) int {
+	if filepath.Base(path) == journalName {
+		return 100
+	}
+	return 0
+}
 
 // losePower returns the disk as it is found after a loss of power.
 func (d *crashDisk) losePower(k keep) *crashDisk {
 	result := d.clone()
 	for _, c := range result.changes {
-		if k() == 100 {
+		if k(c.to) == 100 {
 			c.apply(result.durable)
 		}
 	}
@@ -274,15 +283,15 @@
 			delete(result.durable, name) // its folder was lost
 			continue
 		}
-		result.durable[name].losePower(k)
+		result.durable[name].losePower(k, name)
 	}
 	result.names = maps.Clone(result.durable)
 	return result
 }
 
-func (n *inode) losePower(k keep) {
+func (n *inode) losePower(k keep, path string) {
 	for _, c := range n.unsynced {
-		part := k()
+		part := k(path)
 		if c.data != nil {
 			c.data = c.data[:len(c.data)*part/100]
 		}
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -41,6 +41,10 @@
 	if err := makeFolder(files, folder); err != nil {
 		return nil, replicator.Stored{}, err
 	}
+	// An earlier process may have ended after it replaced a file and before it synced the name.
+	if err := files.syncFolder(folder); err != nil {
+		return nil, replicator.Stored{}, err
+	}
 	j := &Journal{files: files, folder: folder}
 	stored, err := j.load()
 	if err != nil {
@@ -95,16 +99,8 @@
 	if err := j.truncate(size); err != nil {
 		return err
 	}
-	return j.syncFound()
-}
-
-// syncFound syncs what was read: an earlier process may have ended after a write and before its sync, or after it
-// replaced a file and before it synced the name.
-func (j *Journal) syncFound() error {
-	if err := j.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync journal")
-	}
-	return j.files.syncFolder(j.folder)
+	// An earlier process may have ended after a write and before its sync.
+	return errors.Wrap(j.file.Sync(), "sync journal")
 }
 
 func (j *Journal) loadSnapshot() (replicator.Snapshot, error) {
--- a/control/journaler/killed_test.go
+++ b/control/journaler/killed_test.go
@@ -96,3 +96,27 @@
 	}
 	return r
 }
+
+// TestSnapshotIsDurableBeforeItsJournal guards against a journal that outlives the snapshot it follows: a replica that
+// was killed before it synced the name of a snapshot replaced the journal in its next start, and lost power then.
+func TestSnapshotIsDurableBeforeItsJournal(t *testing.T) {
+	disk := newCrashDisk()
+	r := writeSome(t, disk)
+	var killed, unpowered *crashDisk
+	disk.before = func(operation string) {
+		if operation == "sync /disk/data/config" && killed == nil {
+			killed = disk.clone()
+		}
+	}
+	assert.NilError(t, r.journals[0].StoreSnapshot(replicator.Snapshot{Index: 1, Term: 1, Data: []byte("state")}, nil))
+	killed.before = func(operation string) {
+		if operation == "sync /disk/data/config" {
+			unpowered = killed.losePower(keepJournals)
+		}
+	}
+	_, err := start(killed)
+	assert.NilError(t, err)
+	again, err := start(unpowered)
+	assert.NilError(t, err)
+	assert.Equal(t, again.id, r.id)
+}
