--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 KNOWN_RED_PATTERN := $(subst $() ,|,$(patsubst %,^%$$,$(KNOWN_RED)))
 
 # The random tests run with a fixed seed, so that every run gives the same verdict.
-RANDOM_TESTS := $(sort $(addprefix ./,$(dir $(shell grep -rl --include='*_test.go' pgregory.net/rapid core))))
+RANDOM_TESTS := $(sort $(addprefix ./,$(dir $(shell grep -rl --include='*_test.go' pgregory.net/rapid core control))))
 OTHER_TESTS := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 unit:
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/shell/encoder"
@@ -81,28 +82,54 @@
 	if err != nil {
 		return stored, err
 	}
-	return stored, j.openAfter(snapshot, base, stored, int64(valid), int64(len(data)))
+	if replaced, err := j.replaceOutdated(snapshot, base, stored); replaced || err != nil {
+		return stored, err
+	}
+	return stored, j.openFound(data[:valid], payloads, int64(len(data)))
 }
 
-// openAfter opens a journal that was read for further frames. A journal that was written before the snapshot is
-// replaced, as after a crash between the two: further entries would not follow its own.
-func (j *Journal) openAfter(s replicator.Snapshot, base encoder.Base, stored replicator.Stored, valid, size int64) error {
+// replaceOutdated replaces a journal that was written before the snapshot, as after a crash between the two: further
+// entries would not follow its own.
+func (j *Journal) replaceOutdated(s replicator.Snapshot, base encoder.Base, stored replicator.Stored) (bool, error) {
 	switch {
 	case base.Index > s.Index:
-		return errors.Wrap(ErrDamaged, "the snapshot is older than the journal")
+		return false, errors.Wrap(ErrDamaged, "the snapshot is older than the journal")
 	case base.Index < s.Index || base.Term != s.Term:
-		return j.createFile(stored.State, encoder.Base{Index: s.Index, Term: s.Term}, stored.Entries)
+		return true, j.createFile(stored.State, encoder.Base{Index: s.Index, Term: s.Term}, stored.Entries)
 	}
-	if err := j.openFile(valid); err != nil {
+	return false, nil
+}
+
+// openFound opens a journal that was read, with its valid frames and its size.
+func (j *Journal) openFound(valid []byte, payloads [][]byte, size int64) error {
+	if err := j.openFile(int64(len(valid))); err != nil {
 		return err
 	}
 	if err := j.truncate(size); err != nil {
 		return err
 	}
-	// An earlier process may have ended after a write and before its sync.
+	if err := j.rewriteLast(valid, payloads); err != nil {
+		return err
+	}
 	return errors.Wrap(j.file.Sync(), "sync journal")
 }
 
+// rewriteLast writes the last frame once more, so that the next sync covers it: an earlier process may have ended
+// before its sync, or because the sync failed. After a failed sync a file may show what no later sync writes. The
+// frames before the last one have been synced, as has a whole new file.
+func (j *Journal) rewriteLast(valid []byte, payloads [][]byte) error {
+	if len(payloads) < 2 {
+		return nil
+	}
+	offset := len(valid) - headerBytes - len(payloads[len(payloads)-1])
+	_, err := j.file.WriteAt(valid[offset:], int64(offset))
+	if errors.Is(err, unix.ENOSPC) {
+		slog.Warn("the disk is full; the last write to the journal is synced as it is", "folder", j.folder)
+		return nil
+	}
+	return errors.Wrap(err, "rewrite journal")
+}
+
 func (j *Journal) loadSnapshot() (replicator.Snapshot, error) {
 	payload, err := readFrameFile(j.files, j.path(snapshotName))
 	if err != nil || payload == nil {
--- a/control/journaler/killed_test.go
+++ b/control/journaler/killed_test.go
@@ -120,3 +120,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, again.id, r.id)
 }
+
+// TestFailedSyncIsNotReadBack guards against an entry that is taken for stored although its sync has failed: the
+// content can still be read, but no later sync writes it.
+func TestFailedSyncIsNotReadBack(t *testing.T) {
+	disk := newCrashDisk()
+	r := writeSome(t, disk)
+	disk.before = func(operation string) {
+		if operation == "sync /disk/data/config/journal" && disk.failing == 0 {
+			disk.failing = disk.operations + 1
+		}
+	}
+	assert.ErrorIs(t, r.journals[0].Persist(replicator.Output{Entries: entries(2, 2, 1)}), ErrSync)
+	second, err := start(disk)
+	assert.NilError(t, err)
+	assertSurvivesPowerLoss(t, disk, second)
+}
