--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -1,10 +1,13 @@
 package stager
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,7 +42,12 @@
 	t.Helper()
 	s, err := New(bin, t.TempDir(), 3, entries)
 	assert.NilError(t, err)
-	t.Cleanup(s.Stop)
+	t.Cleanup(func() {
+		if t.Failed() {
+			s.keepEvidence(t)
+		}
+		s.Stop()
+	})
 	for range standins {
 		assert.NilError(t, s.AddStandin("rounds"))
 	}
@@ -49,6 +57,44 @@
 	return s
 }
 
+// keepEvidence keeps the logs, the statuses and the event timelines of a stage whose test has failed, as t.TempDir
+// removes them with the test.
+func (s *Stage) keepEvidence(t *testing.T) {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "comfreyplank-"+t.Name()+"-")
+	if err != nil {
+		t.Log(err)
+		return
+	}
+	t.Logf("the evidence is in %s", folder)
+	logs, err := filepath.Glob(filepath.Join(s.Work, "*.log"))
+	if err != nil {
+		t.Log(err)
+	}
+	for _, log := range logs {
+		data, err := os.ReadFile(log)
+		keepFile(t, filepath.Join(folder, filepath.Base(log)), data, err)
+	}
+	for _, p := range append(slices.Clone(s.Controls), s.Entries...) {
+		for _, page := range []string{"status", "timeline"} {
+			var content json.RawMessage
+			err := Get("http://"+p.Admin+"/comfreyplank/v1/"+page, &content)
+			keepFile(t, filepath.Join(folder, p.Name+"-"+page+".json"), content, err)
+		}
+	}
+}
+
+// keepFile writes a file of evidence, or logs why there is none.
+func keepFile(t *testing.T, path string, data []byte, err error) {
+	t.Helper()
+	if err == nil {
+		err = os.WriteFile(path, data, 0o600)
+	}
+	if err != nil {
+		t.Logf("%s: %v", filepath.Base(path), err)
+	}
+}
+
 // awaitReady waits until every entry is ready and every replica knows all endpoints.
 func (s *Stage) awaitReady(t *testing.T) {
 	t.Helper()
--- a/control/journaler/frame.go
+++ b/control/journaler/frame.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"hash/crc32"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -64,7 +65,7 @@
 
 // parseFrames returns the payloads of the frames in a file and the length of the valid frames.
 // Only the last frame may be torn, since each is synced before the next is written: a valid frame
-// after an invalid one means that the file is damaged.
+// after an invalid one means that the file is damaged, and so does a last frame in which one bit has changed.
 func parseFrames(data []byte) (payloads [][]byte, valid int, err error) {
 	rest := data
 	for len(rest) > 0 {
@@ -79,6 +80,9 @@
 	if offset := findFrame(rest); offset >= 0 {
 		return nil, 0, errors.Wrapf(ErrDamaged, "an invalid frame at byte %d is followed by a valid one at byte %d", valid, valid+offset)
 	}
+	if hasFlippedBit(rest) {
+		return nil, 0, errors.Wrapf(ErrDamaged, "a bit of the last frame, at byte %d, has changed", valid)
+	}
 	return payloads, valid, nil
 }
 
@@ -97,3 +101,49 @@
 	}
 	return -1
 }
+
+// hasFlippedBit reports whether data would be one valid frame if a single bit of it were different. A torn write does
+// not look like that: it lacks the end of the frame, or has zeros there.
+func hasFlippedBit(data []byte) bool {
+	if len(data) < headerBytes {
+		return false
+	}
+	return hasFlippedHeaderBit(data) || hasFlippedPayloadBit(data)
+}
+
+func hasFlippedHeaderBit(data []byte) bool {
+	flipped := slices.Clone(data)
+	for bit := range headerBytes * 8 {
+		flipped[bit/8] ^= 1 << (bit % 8)
+		if _, rest, ok := parseFrame(flipped); ok && len(rest) == 0 {
+			return true
+		}
+		flipped[bit/8] = data[bit/8]
+	}
+	return false
+}
+
+// hasFlippedPayloadBit compares the difference of the checksums with that which each bit of the payload would cause.
+// The difference doesn't depend on the rest of the payload, since the checksum is linear.
+func hasFlippedPayloadBit(data []byte) bool {
+	payload := data[headerBytes:]
+	if !bytes.Equal(data[:4], magic) || uint64(binary.LittleEndian.Uint32(data[4:8])) != uint64(len(payload)) {
+		return false
+	}
+	difference := checksum(data[4:8], payload) ^ binary.LittleEndian.Uint32(data[8:12])
+	var caused [8]uint32
+	for bit := range caused {
+		caused[bit] = castagnoli[1<<bit]
+	}
+	zerosToEnd := true
+	for i := len(payload) - 1; i >= 0; i-- {
+		zerosToEnd = zerosToEnd && payload[i] == 0
+		for bit := range caused {
+			if caused[bit] == difference {
+				return !zerosToEnd
+			}
+			caused[bit] = caused[bit]>>8 ^ castagnoli[byte(caused[bit])]
+		}
+	}
+	return false
+}
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -1,8 +1,10 @@
 package journaler
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -164,23 +166,39 @@
 	}
 }
 
-// TestDamageBeforeTheLastFrameIsAnError flips a bit of every byte before the last frame.
-func TestDamageBeforeTheLastFrameIsAnError(t *testing.T) {
+// TestFlippedBitIsDamage guards against a replica that forgets an entry or a vote because a bit of its disk has
+// changed, as if it had never been written. It flips each bit of a journal.
+func TestFlippedBitIsDamage(t *testing.T) {
 	folder := t.TempDir()
 	j, _ := open(t, folder)
-	persist(t, j, replicator.Output{Entries: entries(1, 2, 1)}, replicator.Output{Entries: entries(3, 3, 1)})
+	persist(t, j,
+		replicator.Output{Entries: entries(1, 2, 1)},
+		replicator.Output{Entries: entries(3, 3, 1)},
+		replicator.Output{State: &replicator.HardState{Term: 2, Vote: "a"}},
+	)
 	data, err := os.ReadFile(j.path(journalName))
 	assert.NilError(t, err)
-	persist(t, j, replicator.Output{Entries: entries(4, 4, 1)})
-	all, err := os.ReadFile(j.path(journalName))
+	for bit := range len(data) * 8 {
+		damaged := append([]byte(nil), data...)
+		damaged[bit/8] ^= 1 << (bit % 8)
+		_, _, err := parseFrames(damaged)
+		assert.ErrorIs(t, err, ErrDamaged, "bit %d", bit)
+	}
+}
+
+// TestZerosAtTheEndAreATornWrite guards against a disk that no start accepts: a write of which the end was lost may
+// read as zeros there, also where they stand for a single bit.
+func TestZerosAtTheEndAreATornWrite(t *testing.T) {
+	last, err := frame([]byte("payload\x01\x00"))
 	assert.NilError(t, err)
-	for offset := range data {
-		damaged := append([]byte(nil), all...)
-		damaged[offset] ^= 0x20
-		copied := t.TempDir()
-		assert.NilError(t, os.WriteFile(filepath.Join(copied, journalName), damaged, fileMode))
-		_, _, err := New(copied).Open("")
-		assert.ErrorIs(t, err, ErrDamaged, "byte %d", offset)
+	for cut := range len(last) - 1 {
+		torn := append(slices.Clone(last[:cut]), make([]byte, len(last)-cut)...)
+		if bytes.Equal(torn, last) {
+			continue
+		}
+		_, valid, err := parseFrames(torn)
+		assert.NilError(t, err, "cut at byte %d", cut)
+		assert.Equal(t, valid, 0)
 	}
 }
 
