--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -193,6 +193,16 @@
 	assert.NilError(t, os.RemoveAll(wiped.Data))
 	assert.NilError(t, s.StartProcess(wiped))
 	s.apply(t, Document(1, "second"))
+	s.awaitRepaired(t, wiped, 2)
+	assert.NilError(t, s.Controls[1].Kill())
+	assert.Equal(t, s.revision(t), uint64(2))
+	r := s.apply(t, Document(2, "third"))
+	assert.Equal(t, r.Reply.Revision, uint64(3))
+}
+
+// awaitRepaired waits until a replica reports that both logs have three voters, and holds the revision.
+func (s *Stage) awaitRepaired(t *testing.T, replica *Process, revision uint64) {
+	t.Helper()
 	assert.NilError(t, WaitUntil(testTimeout, func() bool {
 		var status struct {
 			Members []struct {
@@ -203,7 +213,7 @@
 			} `json:"claims-members"`
 			Revision uint64 `json:"revision"`
 		}
-		if Get("http://"+wiped.Admin+"/comfreyplank/v1/status", &status) != nil || len(status.Members) != 3 || len(status.ClaimsMembers) != 3 {
+		if Get("http://"+replica.Admin+"/comfreyplank/v1/status", &status) != nil || len(status.Members) != 3 || len(status.ClaimsMembers) != 3 {
 			return false
 		}
 		for i := range 3 {
@@ -211,12 +221,40 @@
 				return false
 			}
 		}
-		return status.Revision == 2
+		return status.Revision == revision
 	}))
-	assert.NilError(t, s.Controls[1].Kill())
-	assert.Equal(t, s.revision(t), uint64(2))
-	r := s.apply(t, Document(2, "third"))
-	assert.Equal(t, r.Reply.Revision, uint64(3))
+}
+
+// TestDamagedReplicaRejoinsAsAnEmptyOne guards against a replica that goes on from a damaged disk, or can't be brought
+// back: it refuses to start and says what to do, and that works.
+func TestDamagedReplicaRejoinsAsAnEmptyOne(t *testing.T) {
+	s := startStage(t, 1, 1)
+	damaged := s.Controls[0]
+	assert.NilError(t, damaged.Kill())
+	flipBit(t, filepath.Join(damaged.Data, "config", "journal"))
+	assert.NilError(t, s.StartProcess(damaged))
+	assert.Equal(t, damaged.Wait(), 1)
+	log, err := os.ReadFile(filepath.Join(s.Work, damaged.Name+".log"))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(log), "--set-aside-damaged"), string(log))
+
+	args := damaged.Args
+	damaged.Args = append(slices.Clone(args), "--set-aside-damaged")
+	assert.NilError(t, s.StartProcess(damaged))
+	assert.Equal(t, damaged.Wait(), 0)
+	damaged.Args = args
+	assert.NilError(t, s.StartProcess(damaged))
+	s.apply(t, Document(1, "second"))
+	s.awaitRepaired(t, damaged, 2)
+}
+
+// flipBit changes a bit in the middle of a file.
+func flipBit(t *testing.T, path string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	data[len(data)/2] ^= 1
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
 }
 
 func TestFrozenLeaderDoesNotRevertChanges(t *testing.T) {
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -146,13 +146,28 @@
 	return d, nil
 }
 
-func (d *Driver) open() (controller.StoredState, replicator.ID, error) {
-	var state controller.StoredState
-	logs := make([]string, 0, len(messenger.Groups))
+// SetAside moves the state of a damaged data folder to a folder within it, whose path it returns.
+func SetAside(folder string) (string, error) {
+	lock, err := journaler.NewLock(folder)
+	if err != nil {
+		return "", err
+	}
+	defer lock.Release()
+	return journaler.New(folder).SetAside(logNames()...)
+}
+
+// logNames returns the names of the replicated logs on the disk.
+func logNames() []string {
+	names := make([]string, 0, len(messenger.Groups))
 	for _, g := range messenger.Groups {
-		logs = append(logs, g.String())
+		names = append(names, g.String())
 	}
-	id, err := d.disk.Identity(logs...)
+	return names
+}
+
+func (d *Driver) open() (controller.StoredState, replicator.ID, error) {
+	var state controller.StoredState
+	id, err := d.disk.Identity(logNames()...)
 	if err != nil {
 		return state, "", err
 	}
--- a/control/journaler/crashdisk_test.go
+++ b/control/journaler/crashdisk_test.go
@@ -104,6 +104,16 @@
 	return nil
 }
 
+// moveBelow moves the names below a folder with it.
+func moveBelow(names map[string]*inode, from, to string) {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if below, ok := strings.CutPrefix(name, from+"/"); ok {
+			names[to+"/"+below] = names[name]
+			delete(names, name)
+		}
+	}
+}
+
 // removeAll removes the names one by one: each may be kept or lost for itself.
 func (d *crashDisk) removeAll(path string) error {
 	var names []string
@@ -164,6 +174,7 @@
 func (c nameChange) apply(names map[string]*inode) {
 	if c.from != "" && names[c.from] == c.inode {
 		delete(names, c.from)
+		moveBelow(names, c.from, c.to)
 	}
 	if c.inode == nil {
 		delete(names, c.to)
@@ -302,3 +313,11 @@
 	n.unsynced = nil
 	n.content = n.synced
 }
+
+// flipBit changes a bit of a file on the disk.
+func (d *crashDisk) flipBit(path string, offset int) {
+	n := d.names[path]
+	n.content, n.synced = slices.Clone(n.content), slices.Clone(n.synced)
+	n.content[offset] ^= 1
+	n.synced[offset] ^= 1
+}
--- a/control/main.go
+++ b/control/main.go
@@ -11,6 +11,10 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/pkg/errors"
+
+	"comfreyplank.org/control/driver"
+	"comfreyplank.org/control/journaler"
 	"comfreyplank.org/control/runner"
 	"comfreyplank.org/shell/configurer"
 )
@@ -37,12 +41,29 @@
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimit)
 	}
+	if settings.SetAside {
+		return setAside(settings.Data)
+	}
 	signal.Ignore(syscall.SIGHUP) // all settings are flags, there is nothing to reload
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := runner.New(settings.runner()).Run(stop); err != nil {
 		slog.Error("control failed", "error", err)
+		if errors.Is(err, journaler.ErrDamaged) {
+			slog.Error("while a majority of the other replicas is up, run control again with --set-aside-damaged, then start it as before: it joins as an empty replica", "data", settings.Data)
+		}
+		return 1
+	}
+	return 0
+}
+
+// setAside moves the damaged state out of the data folder.
+func setAside(folder string) int {
+	aside, err := driver.SetAside(folder)
+	if err != nil {
+		slog.Error("nothing was set aside", "data", folder, "error", err)
 		return 1
 	}
+	slog.Info("the damaged state was set aside; the next start joins as an empty replica", "folder", aside)
 	return 0
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -23,6 +23,7 @@
 	Peers       []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
 	Grace       time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"6s" description:"longest time that a planned stop takes"`
 	OperatorKey string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
+	SetAside    bool               `long:"set-aside-damaged" description:"move the state of a damaged data folder to its subfolder \"damaged\" and exit; the next start joins as an empty replica. Only while a majority of the other replicas is up"`
 	Logging     configurer.Logging `group:"Log"`
 }
 
