Generate the messages between processes with buf, so that no package of the system is needed

protoc came from the system's packages and is not on each machine. buf is installed at a fixed version like the other tools.

--- a/Makefile
+++ b/Makefile
@@ -34,14 +34,17 @@
 	go test -race $(OTHER_TESTS) -skip '^TestRandom$(if $(KNOWN_RED),|$(KNOWN_RED_PATTERN))'
 
 # wire generates the messages between processes.
+BUF_VERSION := v1.75.0
 PROTOC_GEN_GO_VERSION := v1.36.12
 PROTOC_GEN_GO_GRPC_VERSION := v1.6.2
+WIRE_TEMPLATE := {"version":"v2","plugins":[{"local":"protoc-gen-go","out":".","opt":"paths=source_relative"},{"local":"protoc-gen-go-grpc","out":".","opt":"paths=source_relative"}]}
 
 wire:
 	@mkdir -p $(TOOLS)
+	GOWORK=off GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
 	GOWORK=off GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	GOWORK=off GOBIN=$(TOOLS) go install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC_VERSION)
-	cd shell/encoder/wire && PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative wire.proto
+	cd shell/encoder/wire && PATH=$(TOOLS):$$PATH buf generate --template '$(WIRE_TEMPLATE)'
 
 # demo runs the system on loopback and injects a few faults.
 demo: build
