Renew only what a replica knows of an endpoint (DRAIN)

Seen: replicas and their entries took an endpoint for serving, by a state from before its departure, for as long as it renewed its announcement through others. Work reached it until an entry of theirs heard it directly. Cause: a renewal between replicas carries a sequence but not what it renews. A replica that had missed the change took the new sequence for its old state; the repair of its registry, with the same sequence, was then taken for outdated. Fix: a renewal carries a hash of what it renews, and is ignored by a replica that knows something else, so that the repair is newer. Replicas of the version before send no hash; their renewals are taken as they were. Evidence: TestRenewalDoesNotHideAMissedChange failed before at both other replicas (serving, sequence 8).

--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -286,6 +286,41 @@
 	}
 }
 
+// TestRenewalDoesNotHideAMissedChange guards against a replica that misses a change of an endpoint and takes a later
+// renewal for one of what it knows: it then held the old state under the new sequence, so that the repair of its
+// registry came too late, and its entries sent work to an endpoint that had left long before.
+func TestRenewalDoesNotHideAMissedChange(t *testing.T) {
+	a := registrar.Announcement{
+		Name: registrar.Name{Service: serviceName, Endpoint: "leaver"}, Address: "127.0.0.1:99", DataCentre: "dc", Slots: 4, Connections: 9,
+		State: registrar.StateServing, Incarnation: 7, Sequence: 1,
+	}
+	s := newReadySimulation(t, 3, 3)
+	e := s.entries[0]
+	told := e.connectedTo
+	announce := func(state registrar.State) {
+		a.State = state
+		a.Sequence++
+		s.handleEntry(e, subscriber.Announced{Announcement: a})
+		s.runFor(2 * step)
+	}
+	announce(registrar.StateServing)
+	s.runFor(time.Second)
+	for _, c := range s.replicas {
+		s.cutLinks[[2]string{told.name, c.name}] = c != told
+	}
+	announce(registrar.StateDraining)
+	clear(s.cutLinks)
+	for range 5 {
+		announce(registrar.StateDraining)
+		s.runFor(time.Second)
+	}
+	for _, c := range s.replicas {
+		for _, known := range c.stateMachine.Status(s.now).Endpoints {
+			assert.Check(t, known.Endpoint != "leaver" || known.Leaving(), "%s, told by %s, still knows %+v", c.name, told.name, known)
+		}
+	}
+}
+
 // TestIsolatedReplicaAcceptsNoAnnouncement checks that an isolated replica accepts neither an
 // announcement nor a departure, so that the endpoint turns to another one.
 func TestIsolatedReplicaAcceptsNoAnnouncement(t *testing.T) {
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -40,7 +40,7 @@
 			changed = append(changed, a)
 			c.record(recorder.Event{Kind: recorder.KindEndpointStateChanged, Service: a.Service, Endpoint: a.Endpoint, Detail: stateOf(a)})
 		case registrar.OutcomeRenewed:
-			c.peerUpdate.Renewals = append(c.peerUpdate.Renewals, messenger.Renewal{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load})
+			c.peerUpdate.Renewals = append(c.peerUpdate.Renewals, messenger.Renewal{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load, Content: a.Content()})
 		}
 	}
 	c.queueEntryUpdate(now, changed, nil)
@@ -104,9 +104,11 @@
 	c.peerUpdate.Renewals = pendingRenewals // updates of a peer are not forwarded
 }
 
+// renewEndpoint renews what this replica knows of an endpoint. If the renewal is one of something else, this replica
+// has missed a change: it keeps its sequence, so that the change is newer when the registries are compared.
 func (c *Controller) renewEndpoint(now time.Time, r messenger.Renewal) {
 	a, ok := c.registry.Find(r.Name)
-	if !ok || a.Incarnation != r.Incarnation {
+	if !ok || a.Incarnation != r.Incarnation || (r.Content != 0 && r.Content != a.Content()) {
 		return
 	}
 	a.Sequence = r.Sequence
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -227,6 +227,9 @@
 	Incarnation uint64
 	Sequence    uint64
 	Load        int
+	// Content is the Content of the announcement that is renewed, or zero from a replica of a version that does not
+	// send it.
+	Content uint64
 }
 
 // ShareRequest asks the leader for a replica's shares of the probe budgets.
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -79,11 +79,11 @@
 }
 
 func encodeRenewal(r messenger.Renewal) *wire.Renewal {
-	return &wire.Renewal{Name: encodeName(r.Name), Incarnation: r.Incarnation, Sequence: r.Sequence, Load: int64(r.Load)}
+	return &wire.Renewal{Name: encodeName(r.Name), Incarnation: r.Incarnation, Sequence: r.Sequence, Load: int64(r.Load), Content: r.Content}
 }
 
 func decodeRenewal(r *wire.Renewal) messenger.Renewal {
-	return messenger.Renewal{Name: decodeName(r.GetName()), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Load: int(r.GetLoad())}
+	return messenger.Renewal{Name: decodeName(r.GetName()), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Load: int(r.GetLoad()), Content: r.GetContent()}
 }
 
 func encodeEntry(e replicator.Entry) *wire.Entry {
