--- a/core/committer/committer.go
+++ b/core/committer/committer.go
@@ -212,12 +212,11 @@
 	return a, true
 }
 
-// HasDeparture reports whether the announced departure, or a later one of the same endpoint, is
-// stored. Deregistration is later than draining.
+// HasDeparture reports whether the announced departure, or one that covers it, is stored.
 func (c *Committer) HasDeparture(a registrar.Announcement) bool {
 	for _, d := range c.departures {
 		if d.Name == a.Name {
-			return d.Incarnation > a.Incarnation || (d.Incarnation == a.Incarnation && (d.Deregistered || !a.Deregistered))
+			return d.Covers(a)
 		}
 	}
 	return false
--- a/core/controller/departure.go
+++ b/core/controller/departure.go
@@ -87,14 +87,12 @@
 	c.replyToDepartures(now)
 }
 
-// registerDepartures enters stored departures in the registry. A departure wins over every announcement of the same
-// incarnation, whatever its sequence: the replica that took it may not have heard the latest one.
+// registerDepartures enters stored departures in the registry.
 func (c *Controller) registerDepartures(now time.Time, departures []registrar.Announcement) {
 	list := make([]registrar.Announcement, 0, len(departures))
 	for _, a := range departures {
-		known, ok := c.registry.Find(a.Name)
-		if ok && known.Incarnation == a.Incarnation && !known.Deregistered {
-			a.Sequence = max(a.Sequence, known.Sequence+1)
+		if known, ok := c.registry.Find(a.Name); ok {
+			a = a.After(known)
 		}
 		list = append(list, a)
 	}
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -67,9 +67,11 @@
 	// acknowledged.
 	pendingDepartures      map[uint64]registrar.Announcement
 	acknowledgedDepartures []registrar.Announcement
-	runsByKey              map[string]int
-	runsByCall             map[string]int
-	refusals               map[string]balancer.Outcome
+	// onAnnounceReply is called for each reply to an announcement, if it is set.
+	onAnnounceReply func(controller.AnnounceReply)
+	runsByKey       map[string]int
+	runsByCall      map[string]int
+	refusals        map[string]balancer.Outcome
 	// permitMessages counts the requests of entries for permits, and limitMessages the messages to
 	// them with limits.
 	permitMessages, limitMessages int
@@ -397,6 +399,9 @@
 			s.acknowledgedDepartures = append(s.acknowledgedDepartures, a)
 		}
 		s.accepted = append(s.accepted, v.Accepted)
+		if s.onAnnounceReply != nil {
+			s.onAnnounceReply(v)
+		}
 	}
 }
 
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -68,28 +68,6 @@
 // Leaving reports whether the endpoint drains or is deregistered, and so gets no new requests.
 func (a Announcement) Leaving() bool { return a.Deregistered || a.State == StateDraining }
 
-// WithDeparture returns the announcement with the endpoint's departure applied. A departure
-// can't be revoked within an incarnation, so the state becomes draining. WithDeparture reports
-// false if the departure supersedes the announcement.
-func (a Announcement) WithDeparture(departure Announcement) (Announcement, bool) {
-	switch {
-	case a.Name != departure.Name || a.Incarnation > departure.Incarnation:
-		return a, true
-	case a.Incarnation < departure.Incarnation || (departure.Deregistered && !a.Deregistered):
-		return a, false
-	}
-	a.State = StateDraining
-	return a, true
-}
-
-// Newer reports whether the endpoint made a after b.
-func (a Announcement) Newer(b Announcement) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.Sequence > b.Sequence
-}
-
 // sameExceptProgress reports whether a and b are equal except for their sequence, load and
 // remaining warm-up.
 func (a Announcement) sameExceptProgress(b Announcement) bool {
