Repair a registry that has missed a deregistration (DRAIN)

Seen: a replica that missed the deregistration of an endpoint of the product's own protocol told its entries that it serves until its lease ended, up to 15 s. Cause: the others saw that its registry differed and sent it theirs without the deregistered endpoints, again and again. Fix: they are sent too. Evidence: TestMissedDeregistrationIsRepaired failed before at both other replicas.

--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -286,10 +286,10 @@
 	}
 }
 
-// TestRenewalDoesNotHideAMissedChange guards against a replica that misses a change of an endpoint and takes a later
-// renewal for one of what it knows: it then held the old state under the new sequence, so that the repair of its
-// registry came too late, and its entries sent work to an endpoint that had left long before.
-func TestRenewalDoesNotHideAMissedChange(t *testing.T) {
+// missedChange lets an endpoint announce itself to an entry, and then change in a message that the other replicas
+// miss. It returns the simulation some seconds after that, in which the endpoint renews its announcement.
+func missedChange(t *testing.T, change func(registrar.Announcement) registrar.Announcement, renewals int) *simulation {
+	t.Helper()
 	a := registrar.Announcement{
 		Name: registrar.Name{Service: serviceName, Endpoint: "leaver"}, Address: "127.0.0.1:99", DataCentre: "dc", Slots: 4, Connections: 9,
 		State: registrar.StateServing, Incarnation: 7, Sequence: 1,
@@ -297,30 +297,58 @@
 	s := newReadySimulation(t, 3, 3)
 	e := s.entries[0]
 	told := e.connectedTo
-	announce := func(state registrar.State) {
-		a.State = state
+	announce := func() {
 		a.Sequence++
 		s.handleEntry(e, subscriber.Announced{Announcement: a})
 		s.runFor(2 * step)
 	}
-	announce(registrar.StateServing)
+	announce()
 	s.runFor(time.Second)
 	for _, c := range s.replicas {
 		s.cutLinks[[2]string{told.name, c.name}] = c != told
 	}
-	announce(registrar.StateDraining)
+	a = change(a)
+	announce()
 	clear(s.cutLinks)
-	for range 5 {
-		announce(registrar.StateDraining)
+	for range renewals {
+		announce()
 		s.runFor(time.Second)
 	}
+	s.runFor(3 * time.Second)
+	return s
+}
+
+// checkDeparted checks that no replica knows the endpoint of missedChange as serving.
+func (s *simulation) checkDeparted(t *testing.T) {
+	t.Helper()
 	for _, c := range s.replicas {
 		for _, known := range c.stateMachine.Status(s.now).Endpoints {
-			assert.Check(t, known.Endpoint != "leaver" || known.Leaving(), "%s, told by %s, still knows %+v", c.name, told.name, known)
+			assert.Check(t, known.Endpoint != "leaver" || known.Leaving(), "%s still knows %+v", c.name, known)
 		}
 	}
 }
 
+// TestRenewalDoesNotHideAMissedChange guards against a replica that misses a change of an endpoint and takes a later
+// renewal for one of what it knows: it then held the old state under the new sequence, so that the repair of its
+// registry came too late, and its entries sent work to an endpoint that had left long before.
+func TestRenewalDoesNotHideAMissedChange(t *testing.T) {
+	s := missedChange(t, func(a registrar.Announcement) registrar.Announcement {
+		a.State = registrar.StateDraining
+		return a
+	}, 5)
+	s.checkDeparted(t)
+}
+
+// TestMissedDeregistrationIsRepaired guards against a replica that misses a deregistration and sends work to the
+// endpoint until its lease ends, although the others see that its registry differs.
+func TestMissedDeregistrationIsRepaired(t *testing.T) {
+	s := missedChange(t, func(a registrar.Announcement) registrar.Announcement {
+		a.Deregistered = true
+		return a
+	}, 0)
+	s.checkDeparted(t)
+}
+
 // TestIsolatedReplicaAcceptsNoAnnouncement checks that an isolated replica accepts neither an
 // announcement nor a departure, so that the endpoint turns to another one.
 func TestIsolatedReplicaAcceptsNoAnnouncement(t *testing.T) {
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -171,5 +171,5 @@
 		return
 	}
 	p.digestMismatches = 0
-	c.sendPeerUpdate([]string{p.member.Address}, messenger.RegistryUpdate{Announcements: c.registry.List("")})
+	c.sendPeerUpdate([]string{p.member.Address}, messenger.RegistryUpdate{Announcements: c.registry.All("")})
 }
