Let the soak's endpoints leave and ask for pauses, and check both rules

The stand-in endpoint says in its responses that it leaves, returns as a new incarnation, and refuses requests with a pause, by flag or as the soak sets it. Tables hold what is counted and what is excused.

--- a/soaker/checker/checker.go
+++ b/soaker/checker/checker.go
@@ -60,7 +60,11 @@
 	accepted uint64
 	changes  map[uint64]string
 	outcomes map[Outcome]int
-	limits   limits
+	seen     observations
+	// limits, leaving and pauses hold what endpoints have said about new requests.
+	limits  []namedLimit
+	leaving []saidLeaving
+	pauses  []askedPause
 }
 
 type call struct {
@@ -74,7 +78,7 @@
 func New() *Checker {
 	return &Checker{
 		calls: make(map[string]*call), executions: make(map[string]int), started: make(map[string]bool), endless: make(map[string]bool), departures: make(map[string]time.Time),
-		changes: make(map[uint64]string), outcomes: make(map[Outcome]int), limits: limits{sentBy: make(map[string]string)},
+		changes: make(map[uint64]string), outcomes: make(map[Outcome]int), seen: observations{sent: make(map[string]sending)},
 	}
 }
 
@@ -95,7 +99,7 @@
 	defer c.mu.Unlock()
 	c.executions[callID]++
 	c.started[requestID] = true
-	c.limits.runs = append(c.limits.runs, run{endpoint, requestID, now})
+	c.seen.runs = append(c.seen.runs, arrival{endpoint, requestID, now})
 	if departure, ok := c.departures[endpoint]; ok && now.Sub(departure) > grace {
 		c.addViolation("%s runs %s, %s after its departure was acknowledged", endpoint, callID, now.Sub(departure).Round(time.Millisecond))
 	}
@@ -213,6 +217,8 @@
 		}
 	}
 	c.checkLimits()
+	c.checkLeaving()
+	c.checkPauses()
 	return slices.Clone(c.violations)
 }
 
--- a/soaker/checker/limit_test.go
+++ b/soaker/checker/limit_test.go
@@ -41,7 +41,7 @@
 			for n := range 60 {
 				id := fmt.Sprint(n)
 				at := epoch.Add(time.Duration(n+1) * tt.gap)
-				c.Sent(id, tt.entry(n))
+				c.Sent(at, id, tt.entry(n))
 				c.Ran(at, "e", "call-"+id, id)
 				c.PassedOn(at, id)
 			}
--- /dev/null
+++ b/soaker/checker/observation.go
@@ -0,0 +1,87 @@
+package checker
+
+import "time"
+
+// observations holds what callers and endpoints have seen, and which faults excuse an entry.
+type observations struct {
+	// sent holds when each request was sent, and to which process of an entry.
+	sent map[string]sending
+	// runs holds where and when each request began to run, and arrivals where and when it arrived, also to be refused.
+	runs, arrivals []arrival
+	// passed lists the responses that entries passed on.
+	passed []passedResponse
+	// excused lists the times at which a fault hit an entry or the link of an endpoint, or ended.
+	excused []excuse
+}
+
+type sending struct {
+	entry string
+	at    time.Time
+}
+
+// arrival is one attempt of a request at an endpoint.
+type arrival struct {
+	endpoint, request string
+	at                time.Time
+}
+
+type passedResponse struct {
+	request string
+	at      time.Time
+}
+
+// excuse is a fault of a process of an entry, or of the link of an endpoint.
+type excuse struct {
+	target string
+	at     time.Time
+}
+
+// Sent records the process of an entry that a request is sent to.
+func (c *Checker) Sent(now time.Time, requestID, entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen.sent[requestID] = sending{entry, now}
+}
+
+// PassedOn records that an entry has passed on the response to a request.
+func (c *Checker) PassedOn(now time.Time, requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen.passed = append(c.seen.passed, passedResponse{requestID, now})
+}
+
+// Excused records that a fault hits a process of an entry or the link of an endpoint, or has just ended.
+func (c *Checker) Excused(now time.Time, target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen.excused = append(c.seen.excused, excuse{target, now})
+}
+
+// learned returns when each process of an entry first passed on a response to a request that began
+// to run at an endpoint after it had begun to say something.
+func (o *observations) learned(endpoint string, from time.Time) map[string]time.Time {
+	ran := make(map[string]bool)
+	for _, r := range o.runs {
+		if r.endpoint == endpoint && r.at.After(from) {
+			ran[r.request] = true
+		}
+	}
+	learned := make(map[string]time.Time)
+	for _, p := range o.passed {
+		entry := o.sent[p.request].entry
+		if _, ok := learned[entry]; ran[p.request] && !ok {
+			learned[entry] = p.at
+		}
+	}
+	return learned
+}
+
+// isExcused reports whether a fault hit or left the target from one time to another.
+func (o *observations) isExcused(target string, from, until time.Time) bool {
+	for _, e := range o.excused {
+		if e.target == target && !e.at.Before(from) && !e.at.After(until) {
+			return true
+		}
+	}
+	return false
+}
--- a/soaker/planner/planner.go
+++ b/soaker/planner/planner.go
@@ -46,6 +46,10 @@
 	KindEndless Kind = "endless"
 	// KindLimit makes an endpoint name a limit for all entries together.
 	KindLimit Kind = "limit"
+	// KindLeave makes an endpoint say in its responses that it leaves, and come back as a new incarnation.
+	// KindAskPause makes it refuse some requests and ask for a pause with each.
+	KindLeave    Kind = "leave"
+	KindAskPause Kind = "ask-pause"
 )
 
 // Class names the type of a step's target.
@@ -69,6 +73,8 @@
 	For time.Duration
 	// Rate is the limit of a KindLimit, in requests per second.
 	Rate float64
+	// Pause is the pause of a KindAskPause.
+	Pause time.Duration
 }
 
 // Size holds the number of targets of each class.
@@ -141,8 +147,31 @@
 	return steps
 }
 
-// limitStream is the number of the random stream for limits.
-const limitStream = 3
+// Statements returns the steps at which endpoints say that they leave, or ask for pauses. They come from a random stream
+// of their own, so that a seed has the same plan otherwise.
+func Statements(seed uint64, size Size, length time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, statementStream))
+	var steps []Step
+	for at := randomDuration(rng, minGap, maxGap); at < length; at += randomDuration(rng, minGap, 3*maxGap) {
+		steps = append(steps, Step{
+			At: at, Kind: []Kind{KindLeave, KindAskPause}[rng.IntN(2)], Class: ClassEndpoint, Target: rng.IntN(size.Endpoints),
+			For: randomDuration(rng, minDuration, maxDuration), Pause: randomDuration(rng, minPause, maxPause),
+		})
+	}
+	return steps
+}
+
+// Bounds of the pauses that endpoints ask for.
+const (
+	minPause = 600 * time.Millisecond
+	maxPause = 4 * time.Second
+)
+
+// The numbers of the random streams for limits and for statements.
+const (
+	limitStream     = 3
+	statementStream = 4
+)
 
 func randomStep(rng *rand.Rand, size Size) Step {
 	group := kindsByClass[rng.IntN(len(kindsByClass))]
--- a/soaker/runner/caller.go
+++ b/soaker/runner/caller.go
@@ -117,7 +117,7 @@
 		return 0
 	}
 	sentAt := time.Now()
-	c.check.Sent(request.name, processID(h, conn.incarnation))
+	c.check.Sent(sentAt, request.name, processID(h, conn.incarnation))
 	r, err := conn.exchange(k, request)
 	if err != nil {
 		_ = conn.netConn.Close() // already broken
--- a/soaker/runner/soak.go
+++ b/soaker/runner/soak.go
@@ -76,9 +76,10 @@
 	*responder.Responder
 	name  string
 	relay *relayer.Relay
-	// behaviourMu serialises temporary changes of behaviour, and limitMu limits.
+	// behaviourMu serialises temporary changes of behaviour, limitMu limits, and wishMu what is said of new requests.
 	behaviourMu sync.Mutex
 	limitMu     sync.Mutex
+	wishMu      sync.Mutex
 }
 
 // Run carries out one soak.
@@ -99,17 +100,19 @@
 	soak.startLoad(callCtx, &callers)
 	steps := planner.Plan(s.Seed, s.Size, s.Length)
 	limits := planner.Limits(s.Seed, s.Size, s.Length)
-	var limiting sync.WaitGroup
-	limiting.Go(func() { soak.runSteps(ctx, limits) })
+	statements := planner.Statements(s.Seed, s.Size, s.Length)
+	var besides sync.WaitGroup
+	besides.Go(func() { soak.runSteps(ctx, limits) })
+	besides.Go(func() { soak.runSteps(ctx, statements) })
 	soak.runSteps(ctx, steps)
-	limiting.Wait()
+	besides.Wait()
 	err := soak.awaitRecovery(ctx)
 	time.Sleep(stableTime)
 	stopCalls()
 	callers.Wait()
 	time.Sleep(settleTime)
 	soak.checkLogs()
-	return soak.report(len(steps) + len(limits)), err
+	return soak.report(len(steps) + len(limits) + len(statements)), err
 }
 
 func (s *Soak) report(steps int) Report {
@@ -171,6 +174,7 @@
 	e.Responder, err = responder.New(responder.Settings{
 		Service: service, Endpoint: e.name, Address: address, Advertise: relay.Address(), DataCentre: "dc-1",
 		Slots: 6, Connections: 250, Entries: entries, Behaviour: responder.Default(), Record: executionWriter{s.check, e.name},
+		Arrived: func(request string, pause time.Duration) { s.check.Arrived(time.Now(), e.name, request, pause) },
 	})
 	if err != nil {
 		return err
--- a/soaker/runner/step.go
+++ b/soaker/runner/step.go
@@ -23,6 +23,8 @@
 	drainTime = 14 * time.Second
 	// straggleFactor multiplies the service time of a slow endpoint.
 	straggleFactor = 20
+	// pauseShare is the share of requests with which an endpoint asks for a pause.
+	pauseShare = 0.3
 )
 
 // runSteps starts each step at its time, concurrently, and waits until all have ended.
@@ -67,7 +69,7 @@
 	case planner.KindWipe:
 		return s.wipe(step, h)
 	}
-	if applyLinkFault(step, h.relay) {
+	if applyLinkFault(step, h.relay, func() {}) {
 		return nil
 	}
 	return s.runProcessStep(step, h)
@@ -87,14 +89,16 @@
 }
 
 // applyLinkFault carries out a step that applies to a link, and reports whether the step was
-// of such a kind.
-func applyLinkFault(step planner.Step, relay *relayer.Relay) bool {
+// of such a kind. It calls excuse when the fault begins and when it has ended.
+func applyLinkFault(step planner.Step, relay *relayer.Relay, excuse func()) bool {
 	var fault relayer.Fault
 	switch step.Kind {
 	case planner.KindReset:
+		excuse()
 		relay.Reset()
 		return true
 	case planner.KindForget:
+		excuse()
 		relay.Blackhole()
 		return true
 	case planner.KindDelay:
@@ -106,6 +110,8 @@
 	default:
 		return false
 	}
+	excuse()
+	defer excuse()
 	relay.Set(fault)
 	time.Sleep(step.For)
 	relay.Set(relayer.Fault{})
@@ -113,11 +119,15 @@
 }
 
 func (s *Soak) runEndpointStep(ctx context.Context, step planner.Step, e *endpoint) {
-	if step.Kind == planner.KindLimit {
+	switch step.Kind {
+	case planner.KindLimit:
 		s.nameLimit(ctx, step, e)
 		return
+	case planner.KindLeave, planner.KindAskPause:
+		s.stateWish(ctx, step, e)
+		return
 	}
-	if applyLinkFault(step, e.relay) {
+	if applyLinkFault(step, e.relay, func() { s.check.Excused(time.Now(), e.name) }) {
 		return
 	}
 	e.behaviourMu.Lock()
@@ -158,6 +168,24 @@
 	e.SetLimit("")
 }
 
+// stateWish lets an endpoint say for a time that it leaves, after which it returns as a new incarnation, or ask for
+// pauses.
+func (s *Soak) stateWish(ctx context.Context, step planner.Step, e *endpoint) {
+	e.wishMu.Lock()
+	defer e.wishMu.Unlock()
+	if step.Kind == planner.KindAskPause {
+		e.SetWishes(responder.Wishes{PauseShare: pauseShare, Pause: step.Pause})
+		sleep(ctx, step.For)
+		e.SetWishes(responder.Wishes{})
+		return
+	}
+	s.check.LeavingSaid(time.Now(), e.name, true)
+	e.SetWishes(responder.Wishes{Leaving: true})
+	sleep(ctx, step.For)
+	s.check.LeavingSaid(time.Now(), e.name, false)
+	e.Reincarnate(ctx) // it is announced again later if no entry accepts it now
+}
+
 // wipe deletes the data of a replica, unless an earlier loss is not yet repaired: a group
 // that loses the data of a majority at once has lost its state.
 func (s *Soak) wipe(step planner.Step, h *host) error {
--- a/standin/main.go
+++ b/standin/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -29,6 +30,9 @@
 	Spread      float64  `long:"spread" default:"1" description:"part of the service time that varies"`
 	Queue       int      `long:"queue" default:"100" description:"requests that may wait at an endpoint"`
 	Limit       string   `long:"limit" description:"requests per second that each endpoint names as its limit for all entries together"`
+	Leaving     bool     `long:"leaving" description:"each endpoint says in its responses that it leaves"`
+	Pause       float64  `long:"pause" description:"seconds that each endpoint asks for as a pause with the requests that it refuses by --pause-share"`
+	PauseShare  float64  `long:"pause-share" description:"share of requests, from 0 to 1, that each endpoint refuses in order to get a pause"`
 	Record      string   `long:"record" description:"file that gets the key of each run, also for a process that is killed"`
 	Entries     []string `long:"entry" description:"address of an entry that takes announcements; may be repeated"`
 }
@@ -40,6 +44,10 @@
 	if _, err := flags.Parse(&s); err != nil {
 		return 2
 	}
+	if s.Pause < 0 || s.PauseShare < 0 || s.PauseShare > 1 {
+		fmt.Fprintln(os.Stderr, "standin: --pause must not be negative, and --pause-share must be from 0 to 1")
+		return 2
+	}
 	first, err := netip.ParseAddrPort(s.First)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -90,6 +98,7 @@
 		Connections: s.Connections,
 		Entries:     s.Entries,
 		Behaviour:   b,
+		Wishes:      responder.Wishes{Leaving: s.Leaving, PauseShare: s.PauseShare, Pause: time.Duration(s.Pause * float64(time.Second))},
 		Record:      record,
 	}
 }
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -36,6 +36,10 @@
 	Entries     []string
 	AnnounceKey string
 	Behaviour   Behaviour
+	Wishes      Wishes
+	// Arrived is called with the X-Sending header of each request that arrives, and with the pause that the endpoint
+	// asks for by refusing it, or zero. It may be nil.
+	Arrived func(sending string, pause time.Duration)
 	// Record receives a line when a run begins: its key, the value of its X-Sending header,
 	// and "endless" if its response will never end.
 	Record io.Writer
@@ -54,8 +58,9 @@
 	settings    Settings
 	behaviour   atomic.Pointer[Behaviour]
 	limit       atomic.Pointer[string]
+	wishes      atomic.Pointer[Wishes]
 	started     time.Time
-	incarnation uint64
+	incarnation atomic.Uint64
 	listener    *listener
 	server      *http.Server
 
@@ -78,15 +83,19 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	s.Address = raw.Addr().String()
+	if s.Arrived == nil {
+		s.Arrived = func(string, time.Duration) {}
+	}
 	r := &Responder{
-		settings:    s,
-		started:     time.Now(),
-		incarnation: uint64(time.Now().UnixNano()),
-		listener:    newListener(raw),
-		slots:       make(chan struct{}, s.Slots),
-		runs:        make(map[string]int),
+		settings: s,
+		started:  time.Now(),
+		listener: newListener(raw),
+		slots:    make(chan struct{}, s.Slots),
+		runs:     make(map[string]int),
 	}
+	r.incarnation.Store(uint64(time.Now().UnixNano()))
 	r.behaviour.Store(&s.Behaviour)
+	r.SetWishes(s.Wishes)
 	r.SetLimit("")
 	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: announceTimeout, IdleTimeout: time.Minute}
 	return r, nil
@@ -172,7 +181,7 @@
 func (r *Responder) announce(ctx context.Context, method string) bool {
 	body, err := json.Marshal(announcement{
 		Address: cmp.Or(r.settings.Advertise, r.settings.Address), DataCentre: r.settings.DataCentre, Slots: r.settings.Slots,
-		Connections: r.settings.Connections, State: r.state(), Incarnation: r.incarnation,
+		Connections: r.settings.Connections, State: r.state(), Incarnation: r.incarnation.Load(),
 		Sequence: r.sequence.Add(1), Load: r.Load(),
 	})
 	if err != nil {
@@ -254,7 +263,10 @@
 	b := r.behaviour.Load()
 	load := r.history.at(time.Now().Add(-time.Duration(b.LoadDelayMs)*time.Millisecond), r.Load())
 	value := "load=" + strconv.Itoa(max(0, load+b.LoadOffset))
-	if !b.NoState {
+	switch {
+	case r.wishes.Load().Leaving:
+		value += ", state=leaving"
+	case !b.NoState:
 		value += ", state=" + r.state()
 	}
 	if limit := cmp.Or(*r.limit.Load(), b.Limit); limit != "" {
@@ -273,7 +285,12 @@
 // responds.
 func (r *Responder) handleCall(w http.ResponseWriter, req *http.Request) {
 	b := r.behaviour.Load()
+	pause := r.wishes.Load().drawPause()
+	r.settings.Arrived(req.Header.Get("X-Sending"), pause)
 	switch {
+	case pause > 0:
+		r.refuseAndPause(w, pause)
+		return
 	case b.FailFast:
 		r.setLoadHeader(w)
 		w.WriteHeader(http.StatusInternalServerError)
