Match path prefixes that hold percent-encodings

Seen: a route whose prefix holds a percent sign got no request. Cause: the path of a request is compared decoded, the prefix as it is written. Fix: both are decoded once. A percent sign that stands for itself is left.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -12,6 +13,8 @@
 
 // Match is the result of matching a request to a route.
 type Match struct {
+	// prefix is the path prefix of the route with its percent-encodings decoded.
+	prefix string
 	// Service is the service that defines the route. PickService returns the one that
 	// handles a request.
 	Service string
@@ -46,7 +49,7 @@
 	var routes []Match
 	for _, s := range doc.Services {
 		for _, r := range s.Routes {
-			routes = append(routes, Match{Service: s.Name, Route: r})
+			routes = append(routes, Match{prefix: decodePrefix(r.PathPrefix), Service: s.Name, Route: r})
 		}
 	}
 	slices.SortStableFunc(routes, compareSpecificity)
@@ -56,20 +59,31 @@
 // compareSpecificity orders routes by the length of their path prefixes, then of their hosts,
 // longest first.
 func compareSpecificity(a, b Match) int {
-	if d := len(b.Route.PathPrefix) - len(a.Route.PathPrefix); d != 0 {
+	if d := len(b.prefix) - len(a.prefix); d != 0 {
 		return d
 	}
 	return len(b.Route.Host) - len(a.Route.Host)
 }
 
-// Match returns the most specific route for a host and a path, if there is one.
+// decodePrefix decodes the percent-encodings of a path prefix. One in which a percent sign stands for itself is used as
+// it is.
+func decodePrefix(prefix string) string {
+	if decoded, err := url.PathUnescape(prefix); err == nil {
+		return decoded
+	}
+	return prefix
+}
+
+// Match returns the most specific route for a host and a path, if there is one. The path's percent-encodings are
+// decoded, as are those of the prefixes, so that one path in several spellings has one route; dots and empty segments
+// are segments like others.
 func (r Router) Match(host, path string) (Match, bool) {
 	host = normalHost(host)
 	for _, m := range r.routes {
 		if m.Route.Host != "" && m.Route.Host != host {
 			continue
 		}
-		if hasPathPrefix(path, m.Route.PathPrefix) {
+		if hasPathPrefix(path, m.prefix) {
 			return m, true
 		}
 	}
