--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -207,7 +207,7 @@
 		})
 		return
 	}
-	match, ok := config.router.Match(r.Host, r.URL.Path)
+	match, ok := config.router.Match(r.Host, routedPath(r))
 	if !ok {
 		d.refuse(w, parsed.ID, http.StatusNotFound, "no route leads there")
 		return
@@ -314,7 +314,7 @@
 // covers the caller's credentials, so that nobody gets the response to someone else's request.
 func fingerprint(r *http.Request, body []byte) string {
 	h := sha256.New()
-	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI(), r.Header.Get("Authorization"), r.Header.Get("Cookie")} {
+	for _, part := range []string{r.Method, r.Host, target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")} {
 		_, _ = io.WriteString(h, part+"\x00")
 	}
 	_, _ = h.Write(body)
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -180,20 +180,20 @@
 // roundTrip writes a request and reads the head of the response. Where the rest of the request's
 // body is streamed, it is sent from a goroutine of its own, as the endpoint may respond before it has read
 // the whole body.
-func (c *connection) roundTrip(request *http.Request, rest *receiver.Transfer) (*http.Response, []Informational, *sending, error) {
+func (c *connection) roundTrip(request outgoing, rest *receiver.Transfer) (*http.Response, []Informational, *sending, error) {
 	var streamed *sending
 	if rest != nil {
 		streamed = c.startSending(request, rest)
 	} else if err := c.send(request); err != nil {
 		return nil, nil, nil, err
 	}
-	response, informational, err := c.receive(request)
+	response, informational, err := c.receive(request.Request)
 	return response, informational, streamed, err
 }
 
 // startSending sends a request with a streamed body. If the body breaks off, the sending side of the
 // connection is closed, so that the endpoint can't take the request for complete.
-func (c *connection) startSending(request *http.Request, rest *receiver.Transfer) *sending {
+func (c *connection) startSending(request outgoing, rest *receiver.Transfer) *sending {
 	s := &sending{done: make(chan struct{})}
 	c.group.Go(func() {
 		defer close(s.done)
@@ -211,7 +211,7 @@
 	}
 }
 
-func (c *connection) send(request *http.Request) error {
+func (c *connection) send(request outgoing) error {
 	writer, ok := writerPool.Get().(*bufio.Writer)
 	if !ok {
 		writer = bufio.NewWriterSize(nil, bufferBytes)
@@ -219,7 +219,7 @@
 	defer writerPool.Put(writer)
 	writer.Reset(countingWriter{c})
 	defer writer.Reset(nil)
-	if err := request.Write(writer); err != nil {
+	if err := request.writeTo(writer); err != nil {
 		return errors.Wrap(err, "write request")
 	}
 	return errors.Wrap(writer.Flush(), "write request")
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -55,7 +55,8 @@
 // Request is what an attempt sends. Each attempt sends Body from its start.
 type Request struct {
 	Method string
-	URI    string
+	// Target is the request target, which endpoints get byte for byte.
+	Target string
 	Host   string
 	Header http.Header
 	Body   []byte
@@ -238,7 +239,7 @@
 
 // exchange sends a request over a connection and reads its response, up to the number of bytes
 // that are buffered. The rest of the request's body is nil unless the body is streamed.
-func (f *Forwarder) exchange(ctx context.Context, p *pool, c *connection, request *http.Request, rest *receiver.Transfer) (*Response, error) {
+func (f *Forwarder) exchange(ctx context.Context, p *pool, c *connection, request outgoing, rest *receiver.Transfer) (*Response, error) {
 	stopInterrupt := c.interruptOnDone(ctx)
 	response, informational, sending, err := c.roundTrip(request, rest) //nolint:bodyclose // Finish ends it with the connection
 	if err != nil {
@@ -292,17 +293,20 @@
 }
 
 // buildRequest returns the HTTP request for one attempt.
-func (f *Forwarder) buildRequest(ctx context.Context, d balancer.Dispatch, r Request, rest *receiver.Transfer) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+d.Address+r.URI, r.bodyReader(rest))
+func (f *Forwarder) buildRequest(ctx context.Context, d balancer.Dispatch, r Request, rest *receiver.Transfer) (outgoing, error) {
+	if err := checkTarget(r.Target); err != nil {
+		return outgoing{}, err
+	}
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+d.Address+"/", r.bodyReader(rest))
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return outgoing{}, errors.Wrap(err, "build request")
 	}
 	request.Host = r.Host
 	request.ContentLength = r.ContentLength
 	request.Header = r.Header.Clone()
 	remaining := max(time.Millisecond, d.Deadline.Sub(f.now()))
 	f.protocol.PrepareAttempt(request.Header, translator.Attempt{Endpoint: d.Endpoint, Number: d.Number, Remaining: remaining})
-	return request, nil
+	return outgoing{request, r.Target}, nil
 }
 
 func (r Request) bodyReader(rest *receiver.Transfer) io.Reader {
@@ -327,7 +331,7 @@
 		p.discard(c)
 		return balancer.NoReport, balancer.EndingNotSent
 	}
-	answer, err := f.exchange(ctx, p, c, request, nil)
+	answer, err := f.exchange(ctx, p, c, outgoing{request, request.URL.RequestURI()}, nil)
 	if err != nil {
 		p.discard(c)
 		return balancer.NoReport, balancer.EndingLost
--- a/entry/forwarder/pool_test.go
+++ b/entry/forwarder/pool_test.go
@@ -72,7 +72,7 @@
 				assert.Equal(t, used, tt.reused && i > 0)
 				request, err := http.NewRequest(http.MethodGet, "http://"+p.address+"/", nil)
 				assert.NilError(t, err)
-				response, _, _, err := c.roundTrip(request, nil)
+				response, _, _, err := c.roundTrip(outgoing{request, "/"}, nil)
 				assert.NilError(t, err)
 				body, err := io.ReadAll(response.Body)
 				assert.NilError(t, err)
--- a/entry/forwarder/sending_test.go
+++ b/entry/forwarder/sending_test.go
@@ -67,7 +67,7 @@
 		p := f.pool("endpoint")
 		c := &connection{conn: conn, openedAt: time.Now(), headerBudget: -1, group: &f.group}
 		p.idle, p.open = []*connection{c}, 1
-		request := Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Stream: receiver.BodyOf(r), ContentLength: -1}
+		request := Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Stream: receiver.BodyOf(r), ContentLength: -1}
 		_, ending := f.Send(context.Background(), balancer.Dispatch{
 			Address: "endpoint", Deadline: time.Now().Add(time.Minute),
 			ConnectionPolicy: balancer.ConnectionPolicy{MaxIdle: time.Minute, MaxOpen: 1},
