--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -22,6 +22,7 @@
 	"comfreyplank.org/control/server"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/shell/completer"
 	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
 )
@@ -171,13 +172,18 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen at %s", l.address)
 		}
-		s := &http.Server{Handler: l.handler(d), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+		s := newServer(l.handler(d))
 		servers = append(servers, s)
 		r.group.Go(func() { logError("server at "+l.address, s.Serve(ln)) })
 	}
 	return servers, nil
 }
 
+// newServer returns a server of which no request ends without a response.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: completer.Handler(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 func adminHandler(o *operator.Operator, c *console.Console) http.Handler {
 	r := chi.NewRouter()
 	o.Register(r)
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -24,6 +24,7 @@
 	"comfreyplank.org/entry/keeper"
 	"comfreyplank.org/entry/receiver"
 	"comfreyplank.org/entry/server"
+	"comfreyplank.org/shell/completer"
 	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
 )
@@ -225,8 +226,9 @@
 	return servers, nil
 }
 
+// newServer returns a server of which no request ends without a response.
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: completer.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 func logError(what string, err error) {
