End a long response that pauses as its caller leaves (GONE)

Seen: an endpoint whose long response pauses was held until it sent more, though its caller had left. Cause: the body was copied without a look at the caller between two parts. Fix: the end of the caller's request cancels the attempt. Evidence: TestPausingResponseEndsWithItsCaller, 4.0 s at the endpoint before, under 0.5 s now.

--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -160,7 +160,12 @@
 		keeper.ResetOnClose(r.Context(), true)
 	}
 	w.WriteHeader(httpResponse.StatusCode)
+	// An endpoint that pauses would otherwise be held until it sends more.
+	stop := context.AfterFunc(r.Context(), t.cancel)
 	t.ending = copyBody(w, s.deps.Outbound.Writer(r.Context(), w), t.response)
+	if !stop() {
+		t.ending = balancer.EndingCancelled
+	}
 	if t.ending == balancer.EndingComplete {
 		s.awaitSending(w, r, t)
 	}
--- a/entry/dispatcher/gone_test.go
+++ b/entry/dispatcher/gone_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/entry/forwarder"
 )
 
 // TestCallerThatLeavesGetsNoSuccess guards against a handler that returns without a response: the server
@@ -56,3 +59,44 @@
 		})
 	}
 }
+
+// TestPausingResponseEndsWithItsCaller guards against an endpoint that is held by a long response which pauses, after
+// the caller has left.
+func TestPausingResponseEndsWithItsCaller(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(c *net.TCPConn) error
+	}{
+		{"closes", (*net.TCPConn).Close},
+		{"resets", func(c *net.TCPConn) error {
+			_ = c.SetLinger(0) // if it fails, the connection is closed in order
+			return c.Close()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ended := make(chan time.Time, 1)
+			f := newFixture(t, startEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, strings.Repeat("x", 2*forwarder.MaxBufferedBytes))
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-r.Context().Done():
+				case <-time.After(4 * time.Second):
+				}
+				ended <- time.Now()
+			}))
+			conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			_, err = io.WriteString(conn, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			_, err = io.CopyN(io.Discard, response.Body, 2*forwarder.MaxBufferedBytes) // all there is before the pause
+			assert.NilError(t, err)
+			left := time.Now()
+			assert.NilError(t, tt.leave(conn.(*net.TCPConn)))
+			took := (<-ended).Sub(left)
+			assert.Assert(t, took < 500*time.Millisecond, "the endpoint was at work for %s after the caller had left", took)
+		})
+	}
+}
