Take no word of an earlier incarnation for the present one's (DRAIN, BUDGET)

Seen in a test: an endpoint that has started again under its name got no requests from an entry for good, as the last response of the process before, which said that it leaves, arrived once the new one was known. The same with a pause, and with the limit and the load of a response or a status check. Cause: what a response says was noted for the endpoint as it is known when the response arrives. Fix: it holds for the incarnation that the attempt was sent to; a status check must have been sent since the entry knows the present one.

--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -76,17 +76,23 @@
 
 // attempt is a request in flight at an endpoint.
 type attempt struct {
-	id        AttemptID
-	call      *call // nil once the call has ended without this attempt
-	endpoint  *endpoint
-	sentAt    time.Time
-	responded bool
+	id       AttemptID
+	call     *call // nil once the call has ended without this attempt
+	endpoint *endpoint
+	// incarnation is that of the endpoint as the attempt was sent.
+	incarnation uint64
+	sentAt      time.Time
+	responded   bool
 	// number is the position of the attempt among those of the call, counted from 1.
 	number int
 	// expected is the prediction that was made when the attempt was sent.
 	expected expectation
 }
 
+// current reports whether the endpoint is still the one that the attempt was sent to, as far as the entry knows: what an
+// earlier incarnation says does not hold for a later one.
+func (a *attempt) current() bool { return a.incarnation == a.endpoint.Incarnation }
+
 // expectation is the predicted duration of an attempt, as a multiple of the usual time; zero when
 // unknown.
 type expectation struct {
@@ -228,7 +234,7 @@
 
 func (b *Balancer) dispatch(now time.Time, c *call, e *endpoint) {
 	b.lastAttempt++
-	a := &attempt{id: b.lastAttempt, call: c, endpoint: e, sentAt: now}
+	a := &attempt{id: b.lastAttempt, call: c, endpoint: e, incarnation: e.Incarnation, sentAt: now}
 	b.attempts[a.id] = a
 	b.takePermit(now, e)
 	e.inFlight = append(e.inFlight, inFlightAttempt{a.id, now})
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -40,13 +40,15 @@
 // recordEnding updates the state of the endpoint according to how the attempt ended.
 func (b *Balancer) recordEnding(now time.Time, a *attempt, v AttemptEnded) {
 	e := a.endpoint
-	if v.Ending != EndingMisdirected { // otherwise another endpoint has responded
+	if v.Ending != EndingMisdirected && a.current() { // otherwise another endpoint or incarnation has responded
 		b.recordStatements(now, e, a.call, v.Report)
 	}
 	switch v.Ending {
 	case EndingRefused:
-		b.recordReport(now, e, v.Report, len(e.inFlight))
-		b.observeRefusal(now, a, v.Report.Limit)
+		if a.current() {
+			b.recordReport(now, e, v.Report, len(e.inFlight))
+			b.observeRefusal(now, a, v.Report.Limit)
+		}
 		e.limit.RecordRefusal(len(e.inFlight), b.limitOf(e))
 		e.trial = false
 		b.updateCandidate(now, e.index, e)
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -60,6 +60,8 @@
 	// addressReused is set once another endpoint has replied at the address, until the endpoint
 	// restarts.
 	addressReused bool
+	// incarnationSince is when the entry learned of the present incarnation.
+	incarnationSince time.Time
 	// said is what the endpoint has said about new requests.
 	said         statements
 	lastEvidence time.Time
@@ -167,6 +169,7 @@
 	}
 	if restarted {
 		e.addressReused = false
+		e.incarnationSince = now
 		e.said = statements{}
 		e.verifiedAfter = now
 		e.failures = 0
@@ -361,6 +364,8 @@
 	case e == nil:
 	case v.Misdirected:
 		b.markAddressReused(now, e)
+	case now.Add(-v.Elapsed).Before(e.incarnationSince):
+		v.Report = NoReport // an earlier incarnation may have replied
 	default:
 		b.recordStatements(now, e, nil, v.Report)
 	}
