Use the limits that endpoints name, not only keep them

Seen: an endpoint in need served a tenth of what it offered: 0.27 of 2.6 a second with 100 entries. Cause: an entry asked for a permit when a call passed the endpoint over, and the permit waited for a later call of this entry that would choose just this endpoint. Ruled out: the bound itself, which leaves room. Change: the call waits for the reply and uses the permit; a held permit goes before every other choice; an entry asks for no more than it uses until the next reply; and the leader tells for which share of their calls entries ask, so that messages follow the limit and not the number of entries.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint unit wire demo long soak regress clean
+.PHONY: build test lint unit wire demo long limits soak regress clean
 
 # build compiles every program into bin/.
 build:
@@ -54,6 +54,10 @@
 long:
 	go test -race $(RANDOM_TESTS) -run '^TestRandom' -rapid.checks=2000 -timeout 60m
 
+# limits measures in virtual time how endpoints' limits are used, and prints the table of docs/design/permits.md.
+limits:
+	COMFREYPLANK_LIMIT_TABLE=1 go test ./core/controller -run 'LimitsAreUsed' -count=1 -v | sed -n 's/^ *limit_use_test.go:[0-9]*: |/|/p' | sort -t'|' -k2n -k3n -k4 -k5
+
 # soak runs the programs under faults on fresh seeds; SOAK adds flags.
 soak:
 	@mkdir -p bin/soak
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -38,6 +38,7 @@
 	phaseQueued
 	phaseSampling // waiting for endpoints to report their load
 	phaseHeld     // waiting for a better endpoint
+	phasePermit   // waiting for a permit, while other endpoints need none
 	phaseRunning
 )
 
@@ -57,6 +58,10 @@
 	samplingRounds int
 	// samplingDue is when the current wait for replies, or for a better endpoint, ends.
 	samplingDue time.Time
+	// permitFrom is the endpoint for which the call waits for a permit; nil unless the phase is phasePermit.
+	permitFrom *endpoint
+	// permitSought is set once the call has looked for a permit.
+	permitSought bool
 	// sampled is set once endpoints have been chosen for sampling.
 	sampled      bool
 	attemptsMade int
@@ -126,9 +131,14 @@
 	b.start(now, c)
 }
 
-// start samples endpoints for a call. It starts the call without sampling when others are queued,
-// or when sampling is not possible.
+// start uses a permit for a call, or samples endpoints for it. It starts the call without sampling when others are
+// queued, or when sampling is not possible.
 func (b *Balancer) start(now time.Time, c *call) {
+	if b.queue.Len() > 0 {
+		b.wantPermit(now, c)
+	} else if b.usePermit(now, c) || b.seekPermit(now, c) {
+		return
+	}
 	if b.queue.Len() > 0 || !b.beginSampling(now, c) {
 		b.startWithoutSampling(now, c)
 	}
@@ -136,7 +146,6 @@
 
 // startWithoutSampling sends the first attempt, queues the call, or refuses it.
 func (b *Balancer) startWithoutSampling(now time.Time, c *call) {
-	b.wantPicked(now, c)
 	if b.queue.Len() == 0 && b.attempt(now, c) {
 		return
 	}
--- a/core/balancer/permit.go
+++ b/core/balancer/permit.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -18,12 +19,6 @@
 	}
 }
 
-// want counts a call that would use the endpoint if it had a permit.
-func (b *Balancer) want(now time.Time, e *endpoint) {
-	e.throttle.Want()
-	b.requestPermits(now, e)
-}
-
 // takePermit uses a permit for an attempt if the endpoint requires one.
 func (b *Balancer) takePermit(now time.Time, e *endpoint) {
 	if !e.limited() {
@@ -49,6 +44,7 @@
 		b.record(recorder.KindEndpointLimitChanged, nil, e, fmt.Sprintf("%s, version %d of control", describeRate(rate), v.Grant.Limit.Version))
 	}
 	b.onLimitChanged(now, e)
+	b.resumeWaiting(now, e)
 	b.dispatchQueued(now)
 	b.wantForQueue(now)
 	b.refuseUnpermitted(now)
@@ -62,42 +58,121 @@
 	return b.picker.Pick(now, b.candidates, func(i int) bool { return b.endpoints[i].throttled(now) }) != picker.None
 }
 
-// permitHolder returns an endpoint for which this entry holds a permit, or nil. Permits are used
-// soon, since nobody else can use them meanwhile.
-func (b *Balancer) permitHolder(now time.Time, c *call) *endpoint {
+// usePermit sends a call to an endpoint for which this entry holds a permit, and reports whether there is one. Permits
+// are used before anything else: the endpoint has offered to take the request, and nobody else can use the permit.
+func (b *Balancer) usePermit(now time.Time, c *call) bool {
 	if !b.anyLimited {
-		return nil
+		return false
 	}
-	i := b.picker.Draw(b.candidates, true, func(i int) bool {
-		e := b.endpoints[i]
-		return !e.limited() || e.throttled(now) || !b.maySample(now, c, e)
-	})
+	i := b.picker.Draw(b.candidates, true, func(i int) bool { return !b.mayUsePermit(now, c, b.endpoints[i]) })
 	if i == picker.None {
+		return false
+	}
+	b.dispatch(now, c, b.endpoints[i])
+	return true
+}
+
+// mayUsePermit reports whether there is a permit for the endpoint that the call may use now.
+func (b *Balancer) mayUsePermit(now time.Time, c *call, e *endpoint) bool {
+	candidate := &b.candidates[e.index]
+	return e.limited() && !e.throttled(now) && b.usable(now, c, e) && candidate.InFlight < candidate.Limit && b.maySample(now, c, e)
+}
+
+// Bounds of the time that a call waits for a permit while other endpoints need none: longer than control takes to
+// reply, and short against the time that the call has.
+const (
+	maxPermitWait     = 60 * time.Millisecond
+	permitWaitDivisor = 8
+)
+
+// wantPermit asks control for a permit if the call would use an endpoint that needs one, were there no limits. It
+// returns the endpoint if the reply is on its way for this call alone, and nil otherwise.
+func (b *Balancer) wantPermit(now time.Time, c *call) *endpoint {
+	if !b.anyLimited || c.permitSought || b.awaitsPermit(now, c) {
+		return nil
+	}
+	c.permitSought = true
+	e := b.unlimitedChoice(now, c)
+	if e == nil || !e.throttled(now) || !e.throttle.Want(now) {
 		return nil
 	}
-	return b.endpoints[i]
+	mayRequest := e.throttle.MayRequest(now)
+	b.requestPermits(now, e)
+	if !mayRequest {
+		return nil
+	}
+	return e
 }
 
-// wantPassedOver requests a permit for the first of the endpoints that a call passed over: it is
-// the one that would have been probed.
-func (b *Balancer) wantPassedOver(now time.Time, passedOver []*endpoint) {
-	if len(passedOver) == 0 {
-		return
+// seekPermit asks for a permit as wantPermit does, and reports whether the call waits for the reply: a permit is used
+// best by a call that is there when it comes.
+func (b *Balancer) seekPermit(now time.Time, c *call) bool {
+	e := b.wantPermit(now, c)
+	if e == nil {
+		return false
 	}
-	b.limitCounts.PassedOver += uint64(len(passedOver))
-	b.want(now, passedOver[0])
+	c.phase = phasePermit
+	c.permitFrom = e
+	b.schedule(now.Add(permitWait(now, c)), c.ID, timerPermit)
+	return true
 }
 
-// wantPicked requests a permit for the endpoint that a call would be sent to if no endpoint had a
-// limit. An entry that samples requests one for an endpoint that it would have probed instead.
-func (b *Balancer) wantPicked(now time.Time, c *call) {
-	if !b.anyLimited || b.sampling.Endpoints > 0 {
-		return
+// permitWait returns how long the call may wait for a permit.
+func permitWait(now time.Time, c *call) time.Duration {
+	available := c.Deadline.Sub(now)
+	if c.LatencyTarget > 0 {
+		available = min(available, c.LatencyTarget)
+	}
+	return min(maxPermitWait, available/permitWaitDivisor)
+}
+
+// unlimitedChoice returns an endpoint that needs a permit if the call might use it, were there no limits: the first such
+// one of those that would be probed, or without sampling the one that would be picked, or one drawn at random, as an
+// endpoint that gets few requests is picked late. Otherwise it returns nil.
+func (b *Balancer) unlimitedChoice(now time.Time, c *call) *endpoint {
+	samples := b.sampling.Endpoints > 0
+	if !samples {
+		i := b.picker.Pick(now, b.candidates, func(i int) bool { return c.hasTried(b.endpoints[i]) || b.endpoints[i].ejected() })
+		if i != picker.None && b.endpoints[i].throttled(now) {
+			return b.endpoints[i]
+		}
 	}
-	i := b.picker.Pick(now, b.candidates, func(i int) bool { return c.hasTried(b.endpoints[i]) || b.endpoints[i].ejected() })
-	if i != picker.None && b.endpoints[i].throttled(now) {
-		b.wantPassedOver(now, []*endpoint{b.endpoints[i]})
+	var drawn []*endpoint
+	for range max(1, b.sampling.Endpoints) {
+		i := b.picker.Draw(b.candidates, c.sampled || !samples, func(i int) bool {
+			return slices.Contains(drawn, b.endpoints[i]) || !b.maySample(now, c, b.endpoints[i])
+		})
+		if i == picker.None {
+			return nil
+		}
+		if b.endpoints[i].throttled(now) {
+			return b.endpoints[i]
+		}
+		drawn = append(drawn, b.endpoints[i])
 	}
+	return nil
+}
+
+// resumeWaiting continues the calls that wait for a permit of an endpoint, in the order in which they came: with a
+// permit as far as there are enough, and elsewhere otherwise.
+func (b *Balancer) resumeWaiting(now time.Time, e *endpoint) {
+	var waiting []*call
+	for _, c := range b.calls {
+		if c.phase == phasePermit && c.permitFrom == e {
+			waiting = append(waiting, c)
+		}
+	}
+	slices.SortFunc(waiting, func(x, y *call) int { return cmp.Compare(x.ID, y.ID) })
+	for _, c := range waiting {
+		b.resume(now, c)
+	}
+}
+
+// resume continues a call that has waited for a permit.
+func (b *Balancer) resume(now time.Time, c *call) {
+	c.phase = phaseNew
+	c.permitFrom = nil
+	b.start(now, c)
 }
 
 // awaitsPermit reports whether every endpoint that the call could use lacks only a permit.
@@ -203,7 +278,7 @@
 	}
 	b.rand.Shuffle(len(requestable), func(i, j int) { requestable[i], requestable[j] = requestable[j], requestable[i] })
 	for i := range missing {
-		requestable[i%len(requestable)].throttle.Want()
+		requestable[i%len(requestable)].throttle.Want(now)
 	}
 	for _, e := range requestable[:min(missing, len(requestable))] {
 		b.requestPermits(now, e)
@@ -232,8 +307,12 @@
 	}
 }
 
-// onPermitOverdue refuses a queued call that got no permit in time.
+// onPermitOverdue continues a call elsewhere, or refuses a queued one, that got no permit in time.
 func (b *Balancer) onPermitOverdue(now time.Time, c *call) {
+	if c.phase == phasePermit {
+		b.resume(now, c)
+		return
+	}
 	if b.awaitsPermit(now, c) {
 		b.refuseQueued(now, c)
 	}
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -87,9 +87,6 @@
 		return false
 	}
 	c.samples = c.samples[:0]
-	if e := b.permitHolder(now, c); e != nil {
-		c.samples = append(c.samples, sample{endpoint: e, sentBeforeProbe: e.sent})
-	}
 	var passedOver []*endpoint
 	for len(c.samples) < b.sampling.Endpoints {
 		i := b.pickForSampling(now, c, passedOver)
@@ -103,7 +100,7 @@
 		}
 		c.samples = append(c.samples, sample{endpoint: e, sentBeforeProbe: e.sent})
 	}
-	b.wantPassedOver(now, passedOver)
+	b.limitCounts.PassedOver += uint64(len(passedOver))
 	if len(c.samples) == 0 || len(c.samples)+len(passedOver) < 2 {
 		c.samples = nil
 		return false
--- a/core/balancer/statement_test.go
+++ b/core/balancer/statement_test.go
@@ -28,8 +28,8 @@
 // statementHarness drives a balancer and keeps what each incarnation of an endpoint has said.
 type statementHarness struct {
 	*harness
-	open   []Dispatch
-	asked  []Probe
+	open  []Dispatch
+	asked []Probe
 	// sentTo holds the incarnation that each attempt was sent to, which is the one that answers it.
 	sentTo map[AttemptID]string
 	leaves map[string]bool
--- a/core/balancer/timer.go
+++ b/core/balancer/timer.go
@@ -88,7 +88,7 @@
 	case timerClaim:
 		return c.phase == phaseClaimRetry
 	case timerPermit:
-		return c.phase == phaseQueued
+		return c.phase == phaseQueued || c.phase == phasePermit
 	case timerSampling:
 		return (c.phase == phaseSampling || c.phase == phaseHeld) && !t.at.Before(c.samplingDue)
 	}
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -67,6 +68,8 @@
 	// acknowledged.
 	pendingDepartures      map[uint64]registrar.Announcement
 	acknowledgedDepartures []registrar.Announcement
+	// slots is the number of slots that backends announce; zero means slotsOfBackend.
+	slots int
 	// onAnnounceReply is called for each reply to an announcement, if it is set.
 	onAnnounceReply func(controller.AnnounceReply)
 	runsByKey       map[string]int
@@ -349,7 +352,7 @@
 	b.sequence++
 	a := registrar.Announcement{
 		Name: registrar.Name{Service: serviceName, Endpoint: b.name}, Address: "127.0.0.1:1", DataCentre: "dc",
-		Slots: 4, Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
+		Slots: cmp.Or(s.slots, slotsOfBackend), Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
 	}
 	if e.up && !e.frozen {
 		s.handleEntry(e, subscriber.Announced{Announcement: a})
--- a/core/permitter/permitter.go
+++ b/core/permitter/permitter.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// horizon is how far ahead permits are issued: no further than calls may wait for one.
-	horizon = 200 * time.Millisecond
+	// horizon is how far ahead permits are issued to an entry that has several requests for them: long enough that it
+	// has some until the next reply. An entry with a single request, which waits for the reply, gets one for now only.
+	horizon = 100 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time until an entry requests permits again.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -46,6 +47,8 @@
 	usedAt time.Time
 	// issued is the number of permits that this replica has issued since it learned of the limit.
 	issued uint64
+	// demand is how many requests of all entries want a permit.
+	demand demand
 }
 
 // Permitter holds the limits of all endpoints. It is not safe for concurrent use.
@@ -143,14 +146,22 @@
 		r.next = earliest
 	}
 	ahead := r.next.Sub(now)
+	most := time.Duration(0)
+	if wanted > 1 {
+		most = horizon
+	}
 	permits := 0
-	if ahead <= horizon {
-		permits = min(wanted, 1+int((horizon-ahead)/interval))
+	if ahead <= most {
+		permits = min(wanted, 1+int((most-ahead)/interval))
 	}
+	r.demand.add(now, wanted, r.Limit.Rate)
 	r.next = r.next.Add(time.Duration(permits) * interval)
-	g := throttler.Grant{Limit: r.Limit, Permits: permits, Delay: ahead, Interval: interval}
+	g := throttler.Grant{Limit: r.Limit, Permits: permits, Delay: ahead, Interval: interval, AskShare: r.demand.share}
 	if permits < wanted {
-		g.RetryAfter = min(max(r.next.Sub(now)-horizon, minRetryAfter), maxRetryAfter)
+		g.RetryAfter = min(r.next.Sub(now)-most, maxRetryAfter)
+	}
+	if permits == 0 {
+		g.RetryAfter = max(g.RetryAfter, minRetryAfter)
 	}
 	return g
 }
--- a/core/throttler/limit.go
+++ b/core/throttler/limit.go
@@ -40,4 +40,7 @@
 	Interval time.Duration
 	// RetryAfter is how long the entry should wait before it requests more.
 	RetryAfter time.Duration
+	// AskShare is the share of the requests that want a permit for which the entry should ask; zero from a replica of a
+	// version that doesn't tell, which means all.
+	AskShare float64
 }
--- a/core/throttler/throttle.go
+++ b/core/throttler/throttle.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,6 +16,14 @@
 	// ownShareDivisor is the part of the limit that entries without a reply use together, if all
 	// of them are without one. It leaves room for the permits that were issued before.
 	ownShareDivisor = 2
+	// wantTTL is how long after a request that wanted a permit another one is taken to come in close succession: well
+	// below the life of a permit, so that an entry asks for no more permits than it will use.
+	wantTTL = 200 * time.Millisecond
+	// askAhead is the time for which an entry asks for permits: until the reply to its next request.
+	askAhead = 120 * time.Millisecond
+	// askShareDoubling is the time in which the share that control told doubles: an entry that was told a low share long
+	// ago would otherwise learn last that it may ask for more.
+	askShareDoubling = 4 * time.Second
 )
 
 // permit allows one request at a time from from to until.
@@ -38,8 +47,13 @@
 
 	// permits is ordered by from.
 	permits []permit
-	// wanted counts the requests that lacked a permit since the last request for permits.
-	wanted int
+	// wanted counts the requests that lacked a permit since the last request for permits, as far as they came in close
+	// succession; wantedAt is when the last one did.
+	wanted   int
+	wantedAt time.Time
+	// askShare is the share of the requests that want a permit for which the entry asks, as control told it at askShareAt.
+	askShare   float64
+	askShareAt time.Time
 	// requestedAt is when the request without a reply was made, and requested how many permits
 	// it asked for; both are zero without one.
 	requestedAt time.Time
@@ -57,7 +71,7 @@
 // New returns the throttle of an endpoint that has named no limit. The random source spreads the
 // requests of the entries.
 func New(source *rand.Rand, entries int) *Throttle {
-	return &Throttle{rand: source, entries: max(1, entries)}
+	return &Throttle{rand: source, entries: max(1, entries), askShare: 1}
 }
 
 // SetEntries sets the number of entries that share the limit.
@@ -155,8 +169,19 @@
 	return true
 }
 
-// Want counts a request that would be sent to the endpoint if there were a permit.
-func (t *Throttle) Want() { t.wanted++ }
+// Want counts a request that would be sent to the endpoint if there were a permit. It reports whether the entry should
+// ask for one: while many requests of all entries want one, each asks for its share of them only.
+func (t *Throttle) Want(now time.Time) bool {
+	if t.rand.Float64() >= t.askShare*math.Exp2(now.Sub(t.askShareAt).Seconds()/askShareDoubling.Seconds()) {
+		return false
+	}
+	if now.Sub(t.wantedAt) > wantTTL {
+		t.wanted = 0
+	}
+	t.wanted++
+	t.wantedAt = now
+	return true
+}
 
 // Request returns what is to be sent to control now, and whether there is anything.
 func (t *Throttle) Request(now time.Time) (Request, bool) {
@@ -180,8 +205,8 @@
 	if !t.Limited() || t.awaitsReply() || now.Before(t.nextRequest) {
 		return 0
 	}
-	most := max(1, int(t.limit.Rate*PermitLife.Seconds()))
-	return max(0, min(t.wanted-len(t.permits), most))
+	most := max(1, int(t.limit.Rate*askAhead.Seconds()))
+	return min(t.wanted, most)
 }
 
 func (t *Throttle) awaitsReply() bool { return !t.requestedAt.IsZero() }
@@ -198,6 +223,10 @@
 	t.unanswered = false
 	t.nextOwn = time.Time{}
 	t.Adopt(now, g.Limit)
+	t.askShare, t.askShareAt = 1, now
+	if g.AskShare > 0 {
+		t.askShare = g.AskShare
+	}
 	if !t.Limited() || g.Limit.Version < t.limit.Version {
 		return
 	}
@@ -206,7 +235,7 @@
 		t.add(permit{from: now.Add(delay), until: sentAt.Add(delay + PermitLife)})
 	}
 	t.nextRequest = now.Add(g.RetryAfter)
-	if g.RetryAfter > 0 {
+	if g.RetryAfter > 0 { // others wait too
 		t.nextRequest = t.nextRequest.Add(time.Duration(t.rand.Int64N(int64(g.RetryAfter))))
 	}
 }
--- a/core/throttler/throttle_test.go
+++ b/core/throttler/throttle_test.go
@@ -67,7 +67,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			th := newThrottle(1)
 			th.Observe(at(0), at(0), named(2))
-			th.Want()
+			th.Want(at(0))
 			r, ok := th.Request(at(0))
 			assert.Assert(t, ok && r.Permits == 1 && r.Observed)
 			th.Grant(tt.arrives, at(0), Grant{Limit: Limit{Rate: 2, Version: 1}, Permits: 1, Delay: tt.delay})
@@ -121,7 +121,7 @@
 		span := time.Duration(rapid.IntRange(1, 30).Draw(rt, "seconds")) * time.Second
 		for now := epoch; now.Before(epoch.Add(span)); now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(rt, "ms")) * time.Millisecond) {
 			if !th.Available(now) {
-				th.Want()
+				th.Want(now)
 			}
 			th.Request(now)
 			for th.Take(now) {
@@ -139,7 +139,7 @@
 func TestThrottleWithoutLimitCostsNothing(t *testing.T) {
 	th := newThrottle(3)
 	th.Observe(at(0), at(0), named(1))
-	th.Want()
+	th.Want(at(0))
 	th.Request(at(0))
 	th.Observe(at(10), at(5), Statement{Kind: StatementNone})
 	assert.Assert(t, th.Available(at(10)) && th.Take(at(10)))
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -31,7 +31,7 @@
 		{Name: name, Incarnation: 4, Request: throttler.Request{Limit: limit.Limit, Observed: true, Permits: 3}},
 	}}
 	permitReply = messenger.PermitReply{Sequence: 1, Grants: []messenger.PermitGrant{{Name: name, Incarnation: 4, Grant: throttler.Grant{
-		Limit: limit.Limit, Entries: 17, Permits: 2, Delay: -time.Second, Interval: time.Millisecond, RetryAfter: time.Minute,
+		Limit: limit.Limit, Entries: 17, Permits: 2, Delay: -time.Second, Interval: time.Millisecond, RetryAfter: time.Minute, AskShare: 0.25,
 	}}}}
 	member  = replicator.Member{ID: "i", Name: "n", Address: "a", Voter: true}
 	entries = []replicator.Entry{{Index: 1, Term: 2, Kind: replicator.EntryMembership, Data: []byte("d")}}
--- a/shell/encoder/permit.go
+++ b/shell/encoder/permit.go
@@ -48,7 +48,7 @@
 func encodePermitGrant(g messenger.PermitGrant) *wire.PermitGrant {
 	return &wire.PermitGrant{
 		Endpoint: encodeLimitOf(g.Name, g.Incarnation, g.Grant.Limit), Entries: int64(g.Grant.Entries), Permits: int64(g.Grant.Permits),
-		DelayNanos: int64(g.Grant.Delay), IntervalNanos: int64(g.Grant.Interval), RetryAfterNanos: int64(g.Grant.RetryAfter),
+		DelayNanos: int64(g.Grant.Delay), IntervalNanos: int64(g.Grant.Interval), RetryAfterNanos: int64(g.Grant.RetryAfter), AskShare: g.Grant.AskShare,
 	}
 }
 
@@ -56,7 +56,7 @@
 	l := g.GetEndpoint()
 	return messenger.PermitGrant{Name: decodeName(l.GetName()), Incarnation: l.GetIncarnation(), Grant: throttler.Grant{
 		Limit: decodeLimit(l.GetLimit()), Entries: int(g.GetEntries()), Permits: int(g.GetPermits()),
-		Delay: time.Duration(g.GetDelayNanos()), Interval: time.Duration(g.GetIntervalNanos()), RetryAfter: time.Duration(g.GetRetryAfterNanos()),
+		Delay: time.Duration(g.GetDelayNanos()), Interval: time.Duration(g.GetIntervalNanos()), RetryAfter: time.Duration(g.GetRetryAfterNanos()), AskShare: g.GetAskShare(),
 	}}
 }
 
