--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -16,8 +16,8 @@
 	}
 	a.responded = true
 	latency := now.Sub(a.sentAt)
+	b.recordStatements(now, a.endpoint, a.call, v.Report, a.incarnation)
 	if a.current() {
-		b.recordStatements(now, a.endpoint, a.call, v.Report)
 		b.recordReport(now, a.endpoint, v.Report, len(a.endpoint.inFlight)-1)
 		b.observeLimit(now, a, v.Report.Limit)
 	}
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -40,8 +40,8 @@
 // recordEnding updates the state of the endpoint according to how the attempt ended.
 func (b *Balancer) recordEnding(now time.Time, a *attempt, v AttemptEnded) {
 	e := a.endpoint
-	if v.Ending != EndingMisdirected && a.current() { // otherwise another endpoint or incarnation has responded
-		b.recordStatements(now, e, a.call, v.Report)
+	if v.Ending != EndingMisdirected { // otherwise another endpoint has responded
+		b.recordStatements(now, e, a.call, v.Report, a.incarnation)
 	}
 	switch v.Ending {
 	case EndingRefused:
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -170,7 +170,7 @@
 	if restarted {
 		e.addressReused = false
 		e.incarnationSince = now
-		e.said = statements{}
+		e.said = b.recall(now, next.Endpoint, next.Incarnation)
 		e.verifiedAfter = now
 		e.failures = 0
 		e.ejectedUntil = time.Time{}
@@ -185,7 +185,7 @@
 	if b.endpointsKnown {
 		warmFrom = now
 	}
-	e := &endpoint{Endpoint: next, index: len(b.endpoints), rank: rankOf(b.entry, next.Endpoint), said: b.recallSaid(now, next)}
+	e := &endpoint{Endpoint: next, index: len(b.endpoints), rank: rankOf(b.entry, next.Endpoint), said: b.recall(now, next.Endpoint, next.Incarnation)}
 	b.endpoints = append(b.endpoints, e)
 	b.endpointsByName[next.Endpoint] = e
 	b.ranksStale = true
@@ -364,10 +364,10 @@
 	case e == nil:
 	case v.Misdirected:
 		b.markAddressReused(now, e)
-	case now.Add(-v.Elapsed).Before(e.incarnationSince):
+	case v.Report.Incarnation == 0 && now.Add(-v.Elapsed).Before(e.incarnationSince):
 		v.Report = NoReport // an earlier incarnation may have replied
 	default:
-		b.recordStatements(now, e, nil, v.Report)
+		b.recordStatements(now, e, nil, v.Report, e.Incarnation)
 	}
 	if v.Call != 0 {
 		b.onSampled(now, v)
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -31,6 +31,8 @@
 	Limit throttler.Statement
 	// Leaving is set if the endpoint states that it leaves and gets no new requests.
 	Leaving bool
+	// Incarnation is that of the process that responded; zero if the response doesn't tell.
+	Incarnation uint64
 	// Pause is how long the endpoint wants no requests of this entry.
 	Pause pauser.Pause
 }
--- a/core/balancer/statement.go
+++ b/core/balancer/statement.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"comfreyplank.org/core/pauser"
@@ -20,23 +22,42 @@
 
 func (s statements) allow(now time.Time) bool { return !s.leaving && !now.Before(s.pausedUntil) }
 
-// recordStatements takes in what a response says about new requests to its endpoint.
-func (b *Balancer) recordStatements(now time.Time, e *endpoint, c *call, r Report) {
-	switch {
-	case r.Leaving && !e.said.leaving:
-		e.said.leaving = true
-		b.record(recorder.KindEndpointStopped, c, e, fmt.Sprintf("it says that it leaves, %d in flight", len(e.inFlight)))
-	case r.Pause.Kind == pauser.None:
+// heard returns the statements after one more response.
+func (s statements) heard(now time.Time, r Report, source *rand.Rand) statements {
+	s.leaving = s.leaving || r.Leaving
+	if until := r.Pause.Until(now, source); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+	return s
+}
+
+// recordStatements takes in what a response says about new requests to its endpoint. It speaks of the incarnation that
+// it names, or else of the one that the request was sent to. What a later incarnation says than the entry knows also
+// holds for the known one, which has ended.
+func (b *Balancer) recordStatements(now time.Time, e *endpoint, c *call, r Report, sentTo uint64) {
+	speaker := cmp.Or(r.Incarnation, sentTo)
+	if speaker < e.Incarnation || (!r.Leaving && r.Pause.Kind == pauser.None) {
 		return
 	}
+	if speaker > e.Incarnation {
+		b.remember(now, e.name(), speaker, b.recall(now, e.name(), speaker).heard(now, r, b.rand))
+	}
 	if r.Pause.Kind == pauser.Invalid {
 		b.record(recorder.KindEndpointPaused, c, e, "its Retry-After can't be read and changes nothing")
 	}
-	if until := r.Pause.Until(now, b.rand); until.After(e.said.pausedUntil) {
-		e.said.pausedUntil = until
+	b.applyStatements(now, e, c, e.said.heard(now, r, b.rand), r)
+}
+
+// applyStatements replaces what an endpoint has said about new requests.
+func (b *Balancer) applyStatements(now time.Time, e *endpoint, c *call, said statements, r Report) {
+	if said.leaving && !e.said.leaving {
+		b.record(recorder.KindEndpointStopped, c, e, fmt.Sprintf("it says that it leaves, %d in flight", len(e.inFlight)))
+	}
+	if until := said.pausedUntil; until.After(e.said.pausedUntil) {
 		b.candidates[e.index].WarmUpStart = until // it gets its usual share only some time after its return
 		b.record(recorder.KindEndpointPaused, c, e, fmt.Sprintf("it asks for %s, no requests for %s", r.Pause.For, until.Sub(now).Round(time.Millisecond)))
 	}
+	e.said = said
 	b.updateCandidate(now, e.index, e)
 	b.refuseQueuedIfClosed(now)
 }
@@ -102,26 +123,29 @@
 
 // rememberSaid keeps what a removed endpoint has said, in case it is announced again.
 func (b *Balancer) rememberSaid(now time.Time, e *endpoint) {
-	if e.said.allow(now) {
-		return
+	if !e.said.allow(now) {
+		b.remember(now, e.name(), e.Incarnation, e.said)
 	}
+}
+
+// remember keeps what an incarnation has said that is not announced.
+func (b *Balancer) remember(now time.Time, name string, incarnation uint64, said statements) {
 	kept := b.remembered[:0]
 	for _, r := range b.remembered {
-		if now.Before(r.until) && r.name != e.name() {
+		if now.Before(r.until) && (r.name != name || r.incarnation != incarnation) {
 			kept = append(kept, r)
 		}
 	}
 	if len(kept) == maxRemembered {
 		kept = kept[1:]
 	}
-	kept = append(kept, rememberedStatements{e.name(), e.Incarnation, e.said, now.Add(rememberStatements)})
-	b.remembered = kept
+	b.remembered = append(kept, rememberedStatements{name, incarnation, said, now.Add(rememberStatements)})
 }
 
-// recallSaid returns what an endpoint has said before it was removed, if this is the same incarnation.
-func (b *Balancer) recallSaid(now time.Time, next Endpoint) statements {
+// recall returns what an incarnation has said that was not announced then.
+func (b *Balancer) recall(now time.Time, name string, incarnation uint64) statements {
 	for _, r := range b.remembered {
-		if r.name == next.Endpoint && r.incarnation == next.Incarnation && now.Before(r.until) {
+		if r.name == name && r.incarnation == incarnation && now.Before(r.until) {
 			return r.said
 		}
 	}
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -117,7 +117,7 @@
 	return report
 }
 
-// ParseLoad parses a load header such as "load=3, state=serving, limit=2.5". Missing or invalid
+// ParseLoad parses a load header such as "load=3, state=serving, limit=2.5, incarnation=7". Missing or invalid
 // parts are left unknown.
 func ParseLoad(value string) balancer.Report {
 	report := balancer.NoReport
@@ -132,6 +132,10 @@
 		case "state":
 			report.State = parseState(text)
 			report.Leaving = text == stateLeaving
+		case "incarnation":
+			if n, err := strconv.ParseUint(text, 10, 64); err == nil {
+				report.Incarnation = n
+			}
 		case "limit":
 			limits = append(limits, text)
 		}
--- a/soaker/checker/statement.go
+++ b/soaker/checker/statement.go
@@ -23,7 +23,8 @@
 	from, until     time.Time
 }
 
-// LeavingSaid records that an endpoint says from now on that it leaves, or, as a new incarnation, no longer.
+// LeavingSaid records that an endpoint says from now on that it leaves, or, as a new incarnation, no longer. What the
+// former incarnation has asked for ends with it.
 func (c *Checker) LeavingSaid(now time.Time, endpoint string, leaving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -34,6 +35,12 @@
 	}
 	if leaving {
 		c.leaving = append(c.leaving, saidLeaving{endpoint: endpoint, from: now})
+		return
+	}
+	for i := range c.pauses {
+		if p := &c.pauses[i]; p.endpoint == endpoint && p.until.After(now) {
+			p.until = now
+		}
 	}
 }
 
--- a/soaker/checker/statement_test.go
+++ b/soaker/checker/statement_test.go
@@ -66,6 +66,7 @@
 		{"another entry", "e2/1", time.Second, 5, func(*Checker) {}, 0},
 		{"the entry was frozen", "e1/1", time.Second, 5, func(c *Checker) { c.Excused(epoch.Add(time.Second), "e1/1") }, 0},
 		{"the link of the endpoint was cut", "e1/1", time.Second, 5, func(c *Checker) { c.Excused(epoch, "e") }, 0},
+		{"the next incarnation", "e1/1", time.Second, 5, func(c *Checker) { c.LeavingSaid(epoch.Add(900*time.Millisecond), "e", false) }, 0},
 		{"a fault long before", "e1/1", time.Second, 5, func(c *Checker) { c.Excused(epoch.Add(-time.Minute), "e") }, 1},
 	}
 	for _, tt := range tests {
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -272,6 +272,7 @@
 	if limit := cmp.Or(*r.limit.Load(), b.Limit); limit != "" {
 		value += ", limit=" + limit
 	}
+	value += ", incarnation=" + strconv.FormatUint(r.incarnation.Load(), 10)
 	w.Header().Set("Endpoint-Load-Metrics", value)
 }
 
