Keep what an endpoint has said while an earlier announcement of it comes again (DRAIN, BUDGET)

Cause, by a test: an announcement of an earlier incarnation, from a replica that is behind, ends what the present one has said, and the next announcement of the present one doesn't bring it back. Fix: what an incarnation has said is remembered as another takes its place. Evidence: the row "an earlier incarnation announced again" of TestLeavingEndpointGetsNoRequests failed before.

--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -162,6 +162,9 @@
 		next.LastDirectReport = e.LastDirectReport
 	}
 	b.recordStop(e, next)
+	if restarted {
+		b.rememberSaid(now, e) // an announcement of this incarnation may come again from a replica that is behind
+	}
 	e.Endpoint = next
 	e.removed = false
 	if restarted || startedServing {
--- a/core/balancer/statement_test.go
+++ b/core/balancer/statement_test.go
@@ -147,6 +147,12 @@
 			h.wait(t, 30*time.Second)
 			renew(h)
 		}, false},
+		{"an earlier incarnation announced again", func(h *statementHarness) {
+			h.endpoints[0].Incarnation--
+			renew(h)
+			h.endpoints[0].Incarnation++
+			renew(h)
+		}, false},
 		{"restart", func(h *statementHarness) {
 			h.endpoints[0].Incarnation++
 			renew(h)
