--- a/core/registrar/order.go
+++ b/core/registrar/order.go
@@ -8,7 +8,7 @@
 //     as the replica that took it may not have heard the latest announcement. A deregistration wins over draining.
 //  3. The sequence.
 //
-// Newer is 1 and 3, for announcements. WithDeparture, Covers and After are 1 and 2, for a stored departure.
+// Newer and Outdates are 1 and 3, for announcements. WithDeparture, Covers and After are 1 and 2, for a stored departure.
 
 // Newer reports whether the endpoint made a after b.
 func (a Announcement) Newer(b Announcement) bool {
@@ -18,6 +18,16 @@
 	return a.Sequence > b.Sequence
 }
 
+// Outdates reports whether what is known of an endpoint is to be kept rather than what a replica says that may be
+// behind: it is of a later incarnation, or the endpoint has said it later and the replica doesn't say that it leaves.
+// A replica makes up the sequence of a departure that has none.
+func (a Announcement) Outdates(b Announcement) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return !b.Leaving() && a.Newer(b)
+}
+
 // WithDeparture returns the announcement with the endpoint's stored departure applied. A departure
 // can't be revoked within an incarnation, so the state becomes draining. WithDeparture reports
 // false if the departure supersedes the announcement.
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -31,7 +31,13 @@
 	}
 	changed := make([]registrar.Name, 0, len(v.Changed)+len(v.Removed))
 	for _, a := range v.Changed {
-		s.relayed[a.Name] = a
+		known, ok := s.relayed[a.Name]
+		if ok && known.Incarnation > a.Incarnation {
+			continue // the replica is behind; if it stays so, what is known ends with its lease
+		}
+		if !ok || !known.Outdates(a) {
+			s.relayed[a.Name] = a
+		}
 		delete(s.unlisted, a.Name)
 		changed = append(changed, a.Name)
 	}
--- a/core/subscriber/subscriber_test.go
+++ b/core/subscriber/subscriber_test.go
@@ -50,6 +50,53 @@
 	assert.DeepEqual(t, names(s, epoch), []string{"c"})
 }
 
+// TestReplicaThatIsBehindTakesNothingBack guards against an entry that turns to a replica which is behind, and takes an
+// endpoint for an earlier incarnation, or one that has left for one that serves.
+func TestReplicaThatIsBehindTakesNothingBack(t *testing.T) {
+	at := func(incarnation, sequence uint64, state registrar.State) registrar.Announcement {
+		a := serving("a", false)
+		a.Incarnation, a.Sequence, a.State = incarnation, sequence, state
+		return a
+	}
+	deregistered := at(2, 4, registrar.StateServing)
+	deregistered.Deregistered = true
+	tests := []struct {
+		name         string
+		known, heard registrar.Announcement
+		taken        bool
+	}{
+		{"earlier incarnation", at(2, 1, registrar.StateServing), at(1, 9, registrar.StateServing), false},
+		{"earlier incarnation that drains", at(2, 1, registrar.StateServing), at(1, 9, registrar.StateDraining), false},
+		{"later incarnation", at(2, 5, registrar.StateDraining), at(3, 1, registrar.StateServing), true},
+		{"from before it drained", at(2, 5, registrar.StateDraining), at(2, 4, registrar.StateServing), false},
+		{"serves again", at(2, 5, registrar.StateDraining), at(2, 6, registrar.StateServing), true},
+		{"draining, by a replica that has heard less", at(2, 5, registrar.StateServing), at(2, 4, registrar.StateDraining), true},
+		{"deregistered, by a replica that has heard less", at(2, 5, registrar.StateServing), deregistered, true},
+		{"a renewal behind", at(2, 5, registrar.StateServing), at(2, 4, registrar.StateServing), false},
+		{"the same", at(2, 5, registrar.StateServing), at(2, 5, registrar.StateServing), true},
+	}
+	for _, tt := range tests {
+		for _, full := range []bool{false, true} {
+			s := configured()
+			s.Handle(epoch, MessageReceived{messenger.EndpointUpdate{Full: true, Changed: []registrar.Announcement{tt.known}}})
+			s.Handle(epoch, MessageReceived{messenger.EndpointUpdate{Full: full, Changed: []registrar.Announcement{tt.heard}}})
+			want := tt.known
+			if tt.taken {
+				want = tt.heard
+			}
+			got, ok := s.latest(want.Name)
+			assert.Assert(t, ok)
+			assert.DeepEqual(t, got, want)
+			if full {
+				s.Handle(epoch.Add(registrar.Lease), Tick{})
+				_, ok := s.latest(want.Name)
+				listed := tt.heard.Incarnation >= tt.known.Incarnation
+				assert.Equal(t, ok, listed, "%s: after a lease", tt.name)
+			}
+		}
+	}
+}
+
 func TestReplicaListIsUsedOnlyWithDiscovery(t *testing.T) {
 	tests := []struct {
 		name string
