Tell whose response an entry has passed on (soak)

The timeline of the entry: the request had been hedged (52.392), another endpoint's response was passed on, and the first one of the leaving endpoint came 0.6 s later (52.986). The check took a request that had arrived at an endpoint for one whose response came from there. The stand-in names itself in each response, and the checks of leaving endpoints and of limits go by that.

--- a/soaker/runner/caller.go
+++ b/soaker/runner/caller.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"comfreyplank.org/soaker/checker"
+	"comfreyplank.org/standin/responder"
 )
 
 const (
@@ -124,7 +125,7 @@
 		delete(c.connections, h)
 		return c.classifyBroken(h, conn, request, sentAt, err)
 	}
-	c.check.PassedOn(time.Now(), request.name)
+	c.check.PassedOn(time.Now(), request.name, r.endpoint)
 	if r.closes {
 		_ = conn.netConn.Close() // requested by the entry
 		delete(c.connections, h)
@@ -152,6 +153,8 @@
 	body   []byte
 	// notRun tells whether the entry guarantees that the call was not run.
 	notRun bool
+	// endpoint is the one that gave the response; empty if the entry did.
+	endpoint string
 	// closes tells whether the entry closes the connection after the response.
 	closes bool
 }
@@ -179,7 +182,7 @@
 	defer func() { _ = response.Body.Close() }() // already read to its end
 	body, err := io.ReadAll(response.Body)
 	notRun := response.Header.Get("Comfreyplank-Outcome") == "not-run"
-	return result{status: response.StatusCode, body: body, notRun: notRun, closes: response.Close}, err
+	return result{status: response.StatusCode, body: body, notRun: notRun, endpoint: response.Header.Get(responder.NameHeader), closes: response.Close}, err
 }
 
 // classifyBroken returns the outcome of a request whose connection ended without a complete
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -53,6 +53,9 @@
 	maxRuns         = 2_000_000
 )
 
+// NameHeader names the endpoint in each response, so that a caller knows whose response it was given.
+const NameHeader = "X-Stand-In"
+
 // Responder is a stand-in endpoint.
 type Responder struct {
 	settings    Settings
@@ -273,6 +276,7 @@
 		value += ", limit=" + limit
 	}
 	value += ", incarnation=" + strconv.FormatUint(r.incarnation.Load(), 10)
+	w.Header().Set(NameHeader, r.settings.Endpoint)
 	w.Header().Set("Endpoint-Load-Metrics", value)
 }
 
