--- a/core/balancer/statement.go
+++ b/core/balancer/statement.go
@@ -139,7 +139,8 @@
 	if len(kept) == maxRemembered {
 		kept = kept[1:]
 	}
-	b.remembered = append(kept, rememberedStatements{name, incarnation, said, now.Add(rememberStatements)})
+	kept = append(kept, rememberedStatements{name, incarnation, said, now.Add(rememberStatements)})
+	b.remembered = kept
 }
 
 // recall returns what an incarnation has said that was not announced then.
