--- a/core/controller/statement_test.go
+++ b/core/controller/statement_test.go
@@ -203,7 +203,7 @@
 				s.runTraffic(3*pause, load)
 				most, returned := 0, 0
 				for _, b := range s.backends[:pausing] {
-					most = max(most, b.busiest(from))
+					most = max(most, b.mostIn(from, serviceTime))
 					returned += len(b.arrivals) - b.arrivalsBefore(from)
 				}
 				t.Logf("most requests at once %d, %d in all", most, returned)
@@ -236,16 +236,3 @@
 	}
 	return n
 }
-
-// busiest returns the largest number of requests that reached a backend within the time that one takes, from a time on.
-func (b *backend) busiest(from time.Time) int {
-	arrivals := b.arrivals[b.arrivalsBefore(from):]
-	most, start := 0, 0
-	for end, a := range arrivals {
-		for a.at.Sub(arrivals[start].at) >= serviceTime {
-			start++
-		}
-		most = max(most, end-start+1)
-	}
-	return most
-}
