Count endpoints that a call passes over without sampling

Seen: reading the change since the review once more. comfreyplank_limited_calls_total{result="passed-over"} stayed at 0 on entries that don't sample, though docs/operating.md promises it. No test looked at the count. Change: permitFrom now holds the endpoint that the call would use if there were a permit, until the call uses a permit or goes elsewhere; going elsewhere counts it. A call whose permit comes in time is not counted, as it passed nothing over. The second check of throttled in wantPermit is gone: unlimitedChoice returns no other endpoint. Routing is the same.

--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -58,7 +58,7 @@
 	samplingRounds int
 	// samplingDue is when the current wait for replies, or for a better endpoint, ends.
 	samplingDue time.Time
-	// permitFrom is the endpoint for which the call waits for a permit; nil unless the phase is phasePermit.
+	// permitFrom is the endpoint that the call would use if there were a permit for it; nil once the call goes elsewhere.
 	permitFrom *endpoint
 	// permitSought is set once the call has looked for a permit.
 	permitSought bool
@@ -139,6 +139,7 @@
 	} else if b.usePermit(now, c) || b.seekPermit(now, c) {
 		return
 	}
+	b.passOver(c)
 	if b.queue.Len() > 0 || !b.beginSampling(now, c) {
 		b.startWithoutSampling(now, c)
 	}
--- a/core/balancer/limit_test.go
+++ b/core/balancer/limit_test.go
@@ -198,3 +198,40 @@
 	h.handle(ProbeEnded{Endpoint: "e0", OK: true, Report: none})
 	assert.Assert(t, !e.limited())
 }
+
+// TestPassedOverEndpointsAreCounted guards against limits whose effect an operator can't see: the metric of the calls
+// that went elsewhere for lack of a permit.
+func TestPassedOverEndpointsAreCounted(t *testing.T) {
+	tests := []struct {
+		name string
+		// end ends the wait of a call for a permit of the one endpoint with a limit.
+		end  func(h *limitHarness)
+		want uint64
+	}{
+		{"a permit comes", func(h *limitHarness) { h.reply(1, 0) }, 0},
+		{"control denies it", func(h *limitHarness) { h.reply(0, time.Second) }, 1},
+		{"control doesn't reply in time", func(h *limitHarness) { h.advance(maxPermitWait) }, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newLimitHarness(2, 100)
+			h.endpoints[0].Limit = throttler.Limit{Rate: 2, Version: 1}
+			h.handle(EndpointsChanged{Changed: h.endpoints[:1]})
+			h.wanted = nil // the entry asks for none yet
+			sent := 0
+			for range 4 { // as many as the endpoint without a limit takes
+				if len(h.wanted) > 0 {
+					break
+				}
+				sent = len(h.dispatched)
+				h.call(router.Repeatable)
+				assert.Equal(t, h.LimitCounts().PassedOver, uint64(0))
+			}
+			assert.Equal(t, len(h.wanted), 1)
+			assert.Equal(t, len(h.dispatched), sent, "the call waits")
+			tt.end(h)
+			assert.Equal(t, len(h.dispatched), sent+1)
+			assert.Equal(t, h.LimitCounts().PassedOver, tt.want)
+		})
+	}
+}
--- a/core/balancer/permit.go
+++ b/core/balancer/permit.go
@@ -68,6 +68,7 @@
 	if i == picker.None {
 		return false
 	}
+	c.permitFrom = nil
 	b.dispatch(now, c, b.endpoints[i])
 	return true
 }
@@ -93,7 +94,8 @@
 	}
 	c.permitSought = true
 	e := b.unlimitedChoice(now, c)
-	if e == nil || !e.throttled(now) || !e.throttle.Want(now) {
+	c.permitFrom = e
+	if e == nil || !e.throttle.Want(now) {
 		return nil
 	}
 	mayRequest := e.throttle.MayRequest(now)
@@ -112,7 +114,6 @@
 		return false
 	}
 	c.phase = phasePermit
-	c.permitFrom = e
 	b.schedule(now.Add(permitWait(now, c)), c.ID, timerPermit)
 	return true
 }
@@ -171,10 +172,18 @@
 // resume continues a call that has waited for a permit.
 func (b *Balancer) resume(now time.Time, c *call) {
 	c.phase = phaseNew
-	c.permitFrom = nil
 	b.start(now, c)
 }
 
+// passOver counts the endpoint that a call would use were there no limits, and does not. An entry that samples counts
+// the endpoints that it would have probed.
+func (b *Balancer) passOver(c *call) {
+	if c.permitFrom != nil && b.sampling.Endpoints == 0 {
+		b.limitCounts.PassedOver++
+	}
+	c.permitFrom = nil
+}
+
 // awaitsPermit reports whether every endpoint that the call could use lacks only a permit.
 func (b *Balancer) awaitsPermit(now time.Time, c *call) bool {
 	if !b.anyLimited {
