Write pages of a process in one place; keep timelines of failed soaks only

The soak and the tests of the stager each fetched and wrote pages of a process; the soak did so also after runs that held, whose folder it then removes; the tests asked entries for a page that they don't have. TestLimitsAreUsed looked up the index of a pattern that it held. Outdates repeated the comparison of Newer. openJournal had lost its comment. Change: Process.KeepPage serves both; the soak calls it only if a promise was broken or the system didn't recover; entries are asked for their timeline only. checkLimitUse takes the pattern itself. Outdates uses Newer. No assertion, bound or pattern is changed.

--- a/bench/stager/stager.go
+++ b/bench/stager/stager.go
@@ -220,6 +220,15 @@
 	return errors.Wrap(json.Unmarshal(data, into), "get")
 }
 
+// KeepPage writes a page of the process's admin interface to a file in a folder.
+func (p *Process) KeepPage(folder, page string) error {
+	var content json.RawMessage
+	if err := Get("http://"+p.Admin+"/comfreyplank/v1/"+page, &content); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(folder, p.Name+"-"+page+".json"), content, 0o600), "keep a page")
+}
+
 // KnowsEndpoints reports whether a replica knows exactly count endpoints.
 func (p *Process) KnowsEndpoints(count int) bool {
 	var status struct {
--- a/bench/stager/stager_test.go
+++ b/bench/stager/stager_test.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,25 +72,28 @@
 	}
 	for _, log := range logs {
 		data, err := os.ReadFile(log)
-		keepFile(t, filepath.Join(folder, filepath.Base(log)), data, err)
-	}
-	for _, p := range append(slices.Clone(s.Controls), s.Entries...) {
-		for _, page := range []string{"status", "timeline"} {
-			var content json.RawMessage
-			err := Get("http://"+p.Admin+"/comfreyplank/v1/"+page, &content)
-			keepFile(t, filepath.Join(folder, p.Name+"-"+page+".json"), content, err)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(folder, filepath.Base(log)), data, 0o600)
+		}
+		if err != nil {
+			t.Log(err)
 		}
 	}
+	for _, p := range s.Controls {
+		keepPages(t, folder, p, "status", "timeline")
+	}
+	for _, p := range s.Entries {
+		keepPages(t, folder, p, "timeline")
+	}
 }
 
-// keepFile writes a file of evidence, or logs why there is none.
-func keepFile(t *testing.T, path string, data []byte, err error) {
+// keepPages keeps pages of a process, or logs why it can't.
+func keepPages(t *testing.T, folder string, p *Process, pages ...string) {
 	t.Helper()
-	if err == nil {
-		err = os.WriteFile(path, data, 0o600)
-	}
-	if err != nil {
-		t.Logf("%s: %v", filepath.Base(path), err)
+	for _, page := range pages {
+		if err := p.KeepPage(folder, page); err != nil {
+			t.Logf("%s of %s: %v", page, p.Name, err)
+		}
 	}
 }
 
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -38,6 +38,7 @@
 	state replicator.HardState
 }
 
+// openJournal reads the log in a folder, as Disk.Open says.
 func openJournal(files fileSystem, folder string) (*Journal, replicator.Stored, error) {
 	if err := makeFolder(files, folder); err != nil {
 		return nil, replicator.Stored{}, err
--- a/core/controller/limit_use_test.go
+++ b/core/controller/limit_use_test.go
@@ -60,16 +60,16 @@
 	pick func(s *simulation, users []*simEntry) *simEntry
 }
 
-// movingPattern is the index of the pattern of calls that move.
-const movingPattern = 3
-
-var limitPatterns = []limitPattern{
+// fixedPatterns are the patterns of calls that keep to their entries.
+var fixedPatterns = []limitPattern{
 	{"all", func(s *simulation, _ []*simEntry) *simEntry { return throughAll(s) }},
 	{"some", func(s *simulation, users []*simEntry) *simEntry { return users[s.rand.IntN((len(users)+7)/8)] }},
 	{"one", func(_ *simulation, users []*simEntry) *simEntry { return users[0] }},
-	{"moving", func(s *simulation, users []*simEntry) *simEntry { return users[int(s.now.Unix()/2)%len(users)] }},
 }
 
+// movingPattern is the pattern of calls that move.
+var movingPattern = limitPattern{"moving", func(s *simulation, users []*simEntry) *simEntry { return users[int(s.now.Unix()/2)%len(users)] }}
+
 // users returns the entries that have sent requests to a backend.
 func (b *backend) users() []*simEntry {
 	var users []*simEntry
@@ -82,7 +82,7 @@
 }
 
 // measureLimitUse lets one endpoint name a limit.
-func measureLimitUse(t fatalReporter, entries int, rate float64, pattern int, samples bool) limitUse {
+func measureLimitUse(t fatalReporter, entries int, rate float64, p limitPattern, samples bool) limitUse {
 	var opts []balancer.Option
 	if samples {
 		opts = append(opts, sampling)
@@ -92,7 +92,7 @@
 	s.slots = max(slotsOfBackend, int(rate)) // enough for the limit through one entry
 	s.runTraffic(2*time.Second, traffic{perSecond, throughAll})
 	b := s.backends[0]
-	users, p := b.users(), limitPatterns[pattern]
+	users := b.users()
 	load := traffic{perSecond, func(s *simulation) *simEntry { return p.pick(s, users) }}
 	s.nameLimit(rate, 1)
 	s.runTraffic(useStart, load)
@@ -165,12 +165,12 @@
 
 // checkLimitUse measures a pattern of calls in all systems, and checks each against the target. A window holds whole
 // requests only.
-func checkLimitUse(t *testing.T, pattern int) {
+func checkLimitUse(t *testing.T, p limitPattern) {
 	t.Helper()
 	for _, entries := range []int{17, 106, 313} {
 		for _, rate := range useRates() {
 			for _, samples := range []bool{false, true} {
-				u := measureLimitUse(t, entries, rate, pattern, samples)
+				u := measureLimitUse(t, entries, rate, p, samples)
 				t.Log(u)
 				least := math.Floor(targetUse * rate * useWindow.Seconds())
 				assert.Check(t, u.used*rate*useWindow.Seconds() > least-0.5, "%s", u)
@@ -183,10 +183,10 @@
 // entries that don't use them. With COMFREYPLANK_LIMIT_TABLE set and -v it prints a part of the table of
 // docs/design/permits.md.
 func TestLimitsAreUsed(t *testing.T) {
-	for _, tt := range limitPatterns[:movingPattern] {
-		t.Run(tt.name, func(t *testing.T) {
+	for _, p := range fixedPatterns {
+		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
-			checkLimitUse(t, slices.IndexFunc(limitPatterns, func(p limitPattern) bool { return p.name == tt.name }))
+			checkLimitUse(t, p)
 		})
 	}
 }
--- a/core/registrar/order.go
+++ b/core/registrar/order.go
@@ -22,10 +22,7 @@
 // behind: it is of a later incarnation, or the endpoint has said it later and the replica doesn't say that it leaves.
 // A replica makes up the sequence of a departure that has none.
 func (a Announcement) Outdates(b Announcement) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return !b.Leaving() && a.Newer(b)
+	return a.Incarnation > b.Incarnation || (a.Newer(b) && !b.Leaving())
 }
 
 // WithDeparture returns the announcement with the endpoint's stored departure applied. A departure
--- a/soaker/runner/soak.go
+++ b/soaker/runner/soak.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -113,8 +112,11 @@
 	callers.Wait()
 	time.Sleep(settleTime)
 	soak.checkLogs()
-	soak.keepTimelines()
-	return soak.report(len(steps) + len(limits) + len(statements)), err
+	report := soak.report(len(steps) + len(limits) + len(statements))
+	if err != nil || len(report.Violations) > 0 {
+		soak.keepTimelines()
+	}
+	return report, err
 }
 
 func (s *Soak) report(steps int) Report {
@@ -303,12 +305,7 @@
 // keepTimelines writes the event timeline of each process beside its log, for a run that broke a promise.
 func (s *Soak) keepTimelines() {
 	for _, h := range slices.Concat(s.controls, s.entries) {
-		var timeline json.RawMessage
-		err := stager.Get("http://"+h.process.Admin+"/comfreyplank/v1/timeline", &timeline)
-		if err == nil {
-			err = os.WriteFile(filepath.Join(s.settings.Work, h.process.Name+"-timeline.json"), timeline, 0o600)
-		}
-		if err != nil {
+		if err := h.process.KeepPage(s.settings.Work, "timeline"); err != nil {
 			slog.Warn("a timeline was not kept", "process", h.process.Name, "error", err)
 		}
 	}
