Add workspaces, warm-up limits and admission messages to the document and the protocol

Interfaces for keys, rate limits, evacuations and admission by priority. Nothing uses them yet; documents without them are encoded as before.

--- /dev/null
+++ b/core/messenger/admission.go
@@ -0,0 +1,63 @@
+package messenger
+
+// UsageReport tells how many calls an entry has admitted and refused since its last report. An entry sends none
+// while it has nothing to report.
+type UsageReport struct {
+	Workspaces []WorkspaceUsage
+	Services   []ServiceUsage
+}
+
+// WorkspaceUsage counts the calls of a workspace that has a rate limit.
+type WorkspaceUsage struct {
+	Workspace string
+	// Admitted counts the calls that count towards the rate limit, less those that turned out not to have run.
+	Admitted int
+	// Refused counts the calls that the entry refused because of the rate limit.
+	Refused int
+}
+
+// ServiceUsage counts the calls of one priority to a service.
+type ServiceUsage struct {
+	Service  string
+	Priority int
+	// Offered counts the calls that arrived.
+	Offered int
+	// Shed counts those of them that the entry refused because of an admission share.
+	Shed int
+	// Overloaded counts those that the entry admitted, and for which it found no endpoint with room.
+	Overloaded int
+}
+
+// RelayedUsage passes the reports of a replica's entries on to the leader, added up.
+type RelayedUsage struct {
+	// From is the name of the sender.
+	From  string
+	Usage UsageReport
+}
+
+// AdmissionUpdate lists the shares of calls that entries admit, of the workspaces and the services that can't be
+// admitted whole. It replaces all earlier updates of lower versions.
+type AdmissionUpdate struct {
+	// Version rises with each update, over all leaders.
+	Version    uint64
+	Workspaces []WorkspaceAdmission
+	Services   []ServiceAdmission
+}
+
+// WorkspaceAdmission is the share of a workspace's calls that entries admit, from 0 to 1.
+type WorkspaceAdmission struct {
+	Workspace string
+	Share     float64
+}
+
+// ServiceAdmission is the share of the calls of one priority to a service that entries admit, from 0 to 1.
+type ServiceAdmission struct {
+	Service  string
+	Priority int
+	Share    float64
+}
+
+func (UsageReport) toControl()   {}
+func (AdmissionUpdate) toEntry() {}
+func (AdmissionUpdate) toPeer()  {}
+func (RelayedUsage) toPeer()     {}
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -92,6 +92,8 @@
 type Configuration struct {
 	Revision uint64
 	Document validator.Document
+	// Evacuated lists the data centres whose endpoints get no requests.
+	Evacuated []string
 }
 
 // HeartbeatReply is the reply to a Heartbeat.
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -405,7 +405,7 @@
 	s.configured = true
 	if changed {
 		s.document = v.Document
-		s.emit(Configure(v))
+		s.emit(Configure{Revision: v.Revision, Document: v.Document})
 		s.record(recorder.KindConfigApplied, fmt.Sprintf("revision %d", v.Revision))
 		s.reconfigureAll(now)
 	}
--- a/core/validator/document.go
+++ b/core/validator/document.go
@@ -51,10 +51,25 @@
 	Services []Service `json:"services"`
 	// Stops lists the endpoints that are being taken out of service or already are.
 	Stops []Stop `json:"stops,omitempty"`
+	// Workspaces lists those that may send requests. Without any, requests need no key. No two
+	// have the same name, or a key in common.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 	// Limits apply to the requests and connections of callers.
 	Limits Limits `json:"limits,omitzero"`
 }
 
+// Workspace is a group of callers that share their keys and a rate limit.
+type Workspace struct {
+	Name string   `json:"name"`
+	Keys []string `json:"keys"`
+	// Priority replaces that of the route, if it is set.
+	Priority *int `json:"priority,omitempty"`
+	// RatePerSecond is the rate limit over all entries together; zero means no limit.
+	RatePerSecond float64 `json:"rate-per-second,omitempty"`
+	// Burst is how many requests beyond the rate limit the workspace may send at once.
+	Burst float64 `json:"burst,omitempty"`
+}
+
 // Limits restrict the size and the duration of what a caller sends. A limit of zero selects
 // the default of the entry.
 type Limits struct {
@@ -92,6 +107,9 @@
 	Connections int `json:"connections,omitempty"`
 	// HealthPath is the path that probes request. If it is empty, the default path is used.
 	HealthPath string `json:"health-path,omitempty"`
+	// WarmUpRequestsPerSecond is how many requests a second an endpoint takes from all entries
+	// together while it warms up; zero means no limit.
+	WarmUpRequestsPerSecond float64 `json:"warm-up-requests-per-second,omitempty"`
 }
 
 // Route assigns the requests that match a host and a path prefix to a service.
@@ -115,6 +133,8 @@
 	Attempts int `json:"attempts,omitempty"`
 	// Priority orders the calls that wait in a queue. The lowest value is served first.
 	Priority int `json:"priority,omitempty"`
+	// Public routes need no key, though the document lists workspaces.
+	Public bool `json:"public,omitempty"`
 	// Split divides the requests among services by weight. If it is empty, all requests go
 	// to the service that contains the route.
 	Split []WeightedService `json:"split,omitempty"`
--- a/core/validator/reference.go
+++ b/core/validator/reference.go
@@ -36,7 +36,7 @@
 
 // String returns the name of the kind on the reference page.
 func (k Kind) String() string {
-	return [...]string{"", "whole number", "string", "time", "list of objects", "list of strings", "object"}[k]
+	return [...]string{"", "whole number", "string", "time", "list of objects", "list of strings", "object", "number", "boolean"}[k]
 }
 
 func (f Field) allowed() string {
@@ -45,7 +45,9 @@
 		return strings.Join(f.Choices, ", ")
 	case f.Kind == KindObject:
 		return "the keys below"
-	case f.Kind == KindInteger:
+	case f.Kind == KindBoolean:
+		return "true, false"
+	case f.Kind == KindInteger || f.Kind == KindNumber:
 		return fmt.Sprintf("%d to %d", f.Min, f.Max)
 	case f.Kind == KindObjects || f.Kind == KindStrings:
 		return fmt.Sprintf("%d to %d items", f.Min, f.Max)
--- a/core/validator/schema.go
+++ b/core/validator/schema.go
@@ -11,6 +11,8 @@
 	KindObjects
 	KindStrings
 	KindObject
+	KindNumber
+	KindBoolean
 )
 
 // Field defines one key of the document. Both the validation and the reference page are based
@@ -21,12 +23,14 @@
 	Required bool
 	// Default describes the meaning of an absent optional field on the reference page.
 	Default string
-	// Min and Max limit the value of integers and the length of strings and lists.
+	// Min and Max limit the value of integers and numbers, and the length of strings and lists.
 	Min, Max int64
 	// Choices lists the allowed values of a string. If it is empty, Min and Max apply.
 	Choices []string
 	// IsName restricts a string to letters, digits, dot, dash and underscore.
 	IsName bool
+	// MaxElement limits the length of the strings of a list; zero means MaxNameLength.
+	MaxElement int64
 	// Fields define the keys of an object, or of each object in a list of objects.
 	Fields []Field
 	// Doc is the meaning of the field on the reference page.
@@ -42,6 +46,9 @@
 	MaxChangeIDLength = 100
 	MaxDeadlineMs     = 600_000
 	MaxDocumentBytes  = 4 << 20
+	MaxWorkspaces     = 10_000
+	// MaxKeyBytes is the length of the longest key of a workspace.
+	MaxKeyBytes = 1_000
 )
 
 const (
@@ -57,6 +64,8 @@
 	maxWeight        = 1_000_000
 	maxSplitServices = 100
 	maxConnections   = 1_000_000
+	maxKeys          = 1_000
+	maxRate          = 1_000_000_000
 )
 
 // Schema returns the definitions of the top-level keys of the document.
@@ -69,6 +78,7 @@
 		{Name: "entries", Kind: KindInteger, Required: true, Min: 1, Max: maxEntries, Doc: "Maximum number of entries that run at once, including replacements. Each entry may open an equal part of an endpoint's connections."},
 		{Name: "services", Kind: KindObjects, Required: true, Max: MaxServices, Fields: serviceFields(), Doc: "All services of the system."},
 		{Name: "stops", Kind: KindObjects, Default: "none", Max: MaxEndpoints, Fields: stopFields(), Doc: "Endpoints that get no new requests from a given time on."},
+		{Name: "workspaces", Kind: KindObjects, Default: "none: requests need no key", Max: MaxWorkspaces, Fields: workspaceFields(), Doc: "The workspaces that may send requests. With any workspace, a request to a route that is not public must carry a key of one."},
 		{Name: "limits", Kind: KindObject, Default: "the defaults below", Fields: limitFields(), Doc: "Limits on the requests and connections of callers."},
 	}
 }
@@ -82,6 +92,16 @@
 	}
 }
 
+func workspaceFields() []Field {
+	return []Field{
+		{Name: "name", Kind: KindString, Required: true, Min: 1, Max: MaxNameLength, IsName: true, Doc: "Name of the workspace, unique in the document. Endpoints get it with each request of the workspace."},
+		{Name: "keys", Kind: KindStrings, Required: true, Max: maxKeys, MaxElement: MaxKeyBytes, Doc: "Keys that identify the workspace. No two workspaces share a key."},
+		{Name: "priority", Kind: KindInteger, Default: "the priority of the route", Max: maxPriority, Doc: "Priority of all requests of the workspace. The lowest value is served first."},
+		{Name: "rate-per-second", Kind: KindNumber, Default: "no limit", Max: maxRate, Doc: "Rate limit: requests a second of the workspace over all entries together, averaged. 0 means no limit."},
+		{Name: "burst", Kind: KindNumber, Default: "0", Max: maxRate, Doc: "Requests that the workspace may send at once beyond its rate limit after it has sent fewer."},
+	}
+}
+
 func serviceFields() []Field {
 	return []Field{
 		{Name: "name", Kind: KindString, Required: true, Min: 1, Max: MaxNameLength, IsName: true, Doc: "Name of the service, unique in the document."},
@@ -93,6 +113,7 @@
 		{Name: "probe-bytes-per-second", Kind: KindInteger, Required: true, Max: maxProbeBytes, Doc: "Probe budget: traffic that all entries together may spend on probes, in bytes per second."},
 		{Name: "connections", Kind: KindInteger, Default: "as announced", Max: maxConnections, Doc: "Number of connections that each endpoint accepts from all entries together. It applies to endpoints that don't announce a number."},
 		{Name: "health-path", Kind: KindString, Default: "/comfreyplank/v1/probe", Max: maxPathLength, Doc: "Path that probes request."},
+		{Name: "warm-up-requests-per-second", Kind: KindNumber, Default: "no limit", Max: maxRate, Doc: "Requests a second that an endpoint takes from all entries together while it warms up. 0 means no limit."},
 	}
 }
 
@@ -107,6 +128,7 @@
 		{Name: "target-ms", Kind: KindInteger, Default: "none", Max: MaxDeadlineMs, Doc: "Latency target: the latency up to which a response has its full value, in ms."},
 		{Name: "attempts", Kind: KindInteger, Default: "3", Max: maxAttempts, Doc: "Maximum number of endpoints that one request is sent to."},
 		{Name: "priority", Kind: KindInteger, Default: "0", Max: maxPriority, Doc: "Order of the calls that wait in a queue. The lowest value is served first."},
+		{Name: "public", Kind: KindBoolean, Default: "false", Doc: "Whether requests need no key, though the document lists workspaces."},
 		{Name: "split", Kind: KindObjects, Default: "all requests to the service that contains the route", Max: maxSplitServices, Fields: splitFields(), Doc: "Services among which the requests are divided, each with a weight."},
 	}
 }
--- a/core/validator/validator.go
+++ b/core/validator/validator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -111,6 +112,12 @@
 	switch f.Kind {
 	case KindInteger:
 		c.integer(path, value, f)
+	case KindNumber:
+		c.number(path, value, f)
+	case KindBoolean:
+		if _, ok := value.(bool); !ok {
+			c.add(path, "must be true or false")
+		}
 	case KindString:
 		c.text(path, value, f)
 	case KindTime:
@@ -126,7 +133,7 @@
 
 // elementField returns the definition of an element of a list of strings.
 func (f Field) elementField() Field {
-	return Field{Name: f.Name, Kind: KindString, Min: 1, Max: MaxNameLength, IsName: f.IsName}
+	return Field{Name: f.Name, Kind: KindString, Min: 1, Max: cmp.Or(f.MaxElement, MaxNameLength), IsName: f.IsName}
 }
 
 func (c *checker) list(path string, value any, f Field, each func(string, any)) {
@@ -160,6 +167,18 @@
 	}
 }
 
+func (c *checker) number(path string, value any, f Field) {
+	number, ok := value.(json.Number)
+	if !ok {
+		c.add(path, "must be a number")
+		return
+	}
+	n, err := number.Float64()
+	if err != nil || n < float64(f.Min) || n > float64(f.Max) {
+		c.add(path, "must be from %d to %d", f.Min, f.Max)
+	}
+}
+
 func (c *checker) text(path string, value any, f Field) {
 	s, ok := value.(string)
 	if !ok {
@@ -219,6 +238,7 @@
 	var c checker
 	c.services(doc)
 	c.stops(doc)
+	c.workspaces(doc)
 	return c.problems
 }
 
@@ -275,6 +295,26 @@
 	seen[key] = path
 }
 
+// workspaces checks that names and keys tell workspaces apart. The problems don't contain the keys.
+func (c *checker) workspaces(doc Document) {
+	names := make(map[string]int, len(doc.Workspaces))
+	holders := make(map[string]int)
+	for i, w := range doc.Workspaces {
+		path := fmt.Sprintf("workspaces[%d]", i)
+		if first, ok := names[w.Name]; ok {
+			c.add(path+".name", "repeats workspaces[%d].name", first)
+		}
+		names[w.Name] = i
+		for j, key := range w.Keys {
+			if first, ok := holders[key]; ok && first != i {
+				c.add(fmt.Sprintf("%s.keys[%d]", path, j), "is a key of workspaces[%d] too", first)
+				continue
+			}
+			holders[key] = i
+		}
+	}
+}
+
 func (c *checker) stops(doc Document) {
 	for i, s := range doc.Stops {
 		if _, ok := doc.Service(s.Service); !ok {
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -33,6 +33,15 @@
 	permitReply = messenger.PermitReply{Sequence: 1, Grants: []messenger.PermitGrant{{Name: name, Incarnation: 4, Grant: throttler.Grant{
 		Limit: limit.Limit, Entries: 17, Permits: 2, Delay: -time.Second, Interval: time.Millisecond, RetryAfter: time.Minute, AskShare: 0.25,
 	}}}}
+	usage = messenger.UsageReport{
+		Workspaces: []messenger.WorkspaceUsage{{Workspace: "w", Admitted: -1, Refused: 2}},
+		Services:   []messenger.ServiceUsage{{Service: "s", Priority: 1, Offered: 5, Shed: 2, Overloaded: 3}},
+	}
+	admission = messenger.AdmissionUpdate{
+		Version:    7,
+		Workspaces: []messenger.WorkspaceAdmission{{Workspace: "w", Share: 0.5}},
+		Services:   []messenger.ServiceAdmission{{Service: "s", Priority: 1, Share: 0.25}},
+	}
 	member  = replicator.Member{ID: "i", Name: "n", Address: "a", Voter: true}
 	entries = []replicator.Entry{{Index: 1, Term: 2, Kind: replicator.EntryMembership, Data: []byte("d")}}
 )
@@ -52,6 +61,7 @@
 		messenger.EndpointAnnouncements{Announcements: []registrar.Announcement{announcement}},
 		messenger.ClaimRequest{Request: 1, Command: claimer.Claim{Key: claimer.Key{Service: "s", Value: "k"}, Attempt: "a", Fingerprint: "f"}},
 		permitRequest,
+		usage,
 	} {
 		encoded, err := EncodeToControl(m)
 		assert.NilError(t, err)
@@ -69,12 +79,13 @@
 	for _, m := range []messenger.ToEntry{
 		messenger.ReplicaAddresses{Addresses: []string{"127.0.0.1:1", "127.0.0.1:2"}},
 		messenger.Lagging{},
-		messenger.Configuration{Revision: 1, Document: validator.Document{ChangeID: "c", Services: []validator.Service{{Name: "s"}}}},
+		messenger.Configuration{Revision: 1, Document: validator.Document{ChangeID: "c", Services: []validator.Service{{Name: "s"}}}, Evacuated: []string{"dc"}},
 		messenger.HeartbeatReply{Sequence: 1, ConfigLease: true, Entries: 17, Shares: []messenger.ServiceShare{share}},
 		messenger.EndpointUpdate{Full: true, Changed: []registrar.Announcement{announcement}, Removed: []registrar.Name{name}},
 		messenger.ClaimReply{Request: 1, NotProposed: true, Result: claimer.Result{Verdict: claimer.VerdictDone, Response: claimer.Response{Status: 201, Stored: true, Body: []byte("b")}}},
 		permitReply,
 		messenger.LimitUpdate{Full: true, Limits: []permitter.EndpointLimit{limit}},
+		admission,
 	} {
 		encoded, err := EncodeToEntry(m)
 		assert.NilError(t, err)
@@ -93,6 +104,8 @@
 		messenger.RelayedPermitRequest{From: "n", Run: 1, Stream: 2, Entry: "e", Request: permitRequest},
 		messenger.RelayedPermitReply{Run: 1, Stream: 2, Reply: permitReply},
 		messenger.LimitUpdate{Full: true, Limits: []permitter.EndpointLimit{limit}},
+		messenger.RelayedUsage{From: "n", Usage: usage},
+		admission,
 		messenger.Presence{Member: member, Run: 1, Bootstrapped: true, RevisionInEffect: 2, RegistryDigest: 3, Relayed: true},
 		messenger.RegistryUpdate{Announcements: []registrar.Announcement{announcement}, Renewals: []messenger.Renewal{{Name: name, Incarnation: 1, Sequence: 2, Load: 3}}},
 		messenger.ShareRequest{Sent: 1, From: "f", Run: 2, Entries: 3},
--- a/shell/encoder/entry.go
+++ b/shell/encoder/entry.go
@@ -32,6 +32,8 @@
 		return &wire.FromEntry{Message: &wire.FromEntry_Claiming{Claiming: request}}, nil
 	case messenger.PermitRequest:
 		return &wire.FromEntry{Message: &wire.FromEntry_PermitRequest{PermitRequest: encodePermitRequest(v)}}, nil
+	case messenger.UsageReport:
+		return &wire.FromEntry{Message: &wire.FromEntry_UsageReport{UsageReport: encodeUsageReport(v)}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -63,6 +65,8 @@
 		return messenger.ClaimRequest{Request: v.Claiming.GetRequest(), Command: command}, nil
 	case *wire.FromEntry_PermitRequest:
 		return decodePermitRequest(v.PermitRequest), nil
+	case *wire.FromEntry_UsageReport:
+		return decodeUsageReport(v.UsageReport), nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -75,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		configuration := &wire.Configured{Revision: v.Revision, Document: document}
+		configuration := &wire.Configured{Revision: v.Revision, Document: document, Evacuated: v.Evacuated}
 		return &wire.FromControl{Message: &wire.FromControl_Configured{Configured: configuration}}, nil
 	case messenger.HeartbeatReply:
 		reply := &wire.BeatAnswer{Sequence: v.Sequence, Standing: v.ConfigLease, Entries: int64(v.Entries), Shares: convertAll(v.Shares, encodeShare)}
@@ -99,6 +103,8 @@
 		return &wire.FromControl{Message: &wire.FromControl_PermitReply{PermitReply: encodePermitReply(v)}}, nil
 	case messenger.LimitUpdate:
 		return &wire.FromControl{Message: &wire.FromControl_LimitUpdate{LimitUpdate: encodeLimitUpdate(v)}}, nil
+	case messenger.AdmissionUpdate:
+		return &wire.FromControl{Message: &wire.FromControl_AdmissionUpdate{AdmissionUpdate: encodeAdmissionUpdate(v)}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -111,7 +117,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return messenger.Configuration{Revision: v.Configured.GetRevision(), Document: document}, nil
+		return messenger.Configuration{Revision: v.Configured.GetRevision(), Document: document, Evacuated: v.Configured.GetEvacuated()}, nil
 	case *wire.FromControl_BeatAnswer:
 		b := v.BeatAnswer
 		return messenger.HeartbeatReply{Sequence: b.GetSequence(), ConfigLease: b.GetStanding(), Entries: int(b.GetEntries()), Shares: convertAll(b.GetShares(), decodeShare)}, nil
@@ -132,6 +138,8 @@
 		return decodePermitReply(v.PermitReply), nil
 	case *wire.FromControl_LimitUpdate:
 		return decodeLimitUpdate(v.LimitUpdate), nil
+	case *wire.FromControl_AdmissionUpdate:
+		return decodeAdmissionUpdate(v.AdmissionUpdate), nil
 	}
 	return nil, ErrUnknownMessage
 }
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -37,6 +37,11 @@
 		return &wire.FromPeer{Message: &wire.FromPeer_RelayedPermitReply{RelayedPermitReply: reply}}, nil
 	case messenger.LimitUpdate:
 		return &wire.FromPeer{Message: &wire.FromPeer_LimitUpdate{LimitUpdate: encodeLimitUpdate(v)}}, nil
+	case messenger.RelayedUsage:
+		usage := &wire.RelayedUsage{From: v.From, Usage: encodeUsageReport(v.Usage)}
+		return &wire.FromPeer{Message: &wire.FromPeer_RelayedUsage{RelayedUsage: usage}}, nil
+	case messenger.AdmissionUpdate:
+		return &wire.FromPeer{Message: &wire.FromPeer_AdmissionUpdate{AdmissionUpdate: encodeAdmissionUpdate(v)}}, nil
 	}
 	return nil, ErrUnknownMessage
 }
@@ -66,6 +71,10 @@
 		return messenger.RelayedPermitReply{Run: r.GetRun(), Stream: r.GetStream(), Reply: decodePermitReply(r.GetReply())}, nil
 	case *wire.FromPeer_LimitUpdate:
 		return decodeLimitUpdate(v.LimitUpdate), nil
+	case *wire.FromPeer_RelayedUsage:
+		return messenger.RelayedUsage{From: v.RelayedUsage.GetFrom(), Usage: decodeUsageReport(v.RelayedUsage.GetUsage())}, nil
+	case *wire.FromPeer_AdmissionUpdate:
+		return decodeAdmissionUpdate(v.AdmissionUpdate), nil
 	}
 	return nil, ErrUnknownMessage
 }
