Let probes outlive the wait of their calls, and look for room in a reserve

Change: a probe lasts up to 500 ms, calls share it, an endpoint with a late reply isn't probed again, and calls without room probe a reserve of 30 endpoints before all others.

--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -57,6 +57,10 @@
 	// trial is set while one request decides whether an ejected endpoint returns.
 	trial   bool
 	probing bool
+	// probedAt is when the probe for sampling that has no reply yet was sent; zero without one. samplingCalls are
+	// the calls that wait for the reply, or did.
+	probedAt      time.Time
+	samplingCalls []CallID
 	// addressReused is set once another endpoint has replied at the address, until the endpoint
 	// restarts.
 	addressReused bool
--- a/core/balancer/permit.go
+++ b/core/balancer/permit.go
@@ -64,7 +64,7 @@
 	if !b.anyLimited {
 		return false
 	}
-	i := b.picker.Draw(b.candidates, true, func(i int) bool { return !b.mayUsePermit(now, c, b.endpoints[i]) })
+	i := b.picker.Draw(b.candidates, picker.TierRest, true, func(i int) bool { return !b.mayUsePermit(now, c, b.endpoints[i]) })
 	if i == picker.None {
 		return false
 	}
@@ -138,9 +138,13 @@
 			return b.endpoints[i]
 		}
 	}
+	last, uniform := picker.TierRest, true
+	if samples {
+		last, uniform = c.samplingTier(), c.sampled
+	}
 	var drawn []*endpoint
 	for range max(1, b.sampling.Endpoints) {
-		i := b.picker.Draw(b.candidates, c.sampled || !samples, func(i int) bool {
+		i := b.picker.Draw(b.candidates, last, uniform, func(i int) bool {
 			return slices.Contains(drawn, b.endpoints[i]) || !b.maySample(now, c, b.endpoints[i])
 		})
 		if i == picker.None {
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -38,6 +38,10 @@
 	// maxHedgeEstimate is the longest estimate, as a multiple of the usual time, at which a
 	// second attempt is sent.
 	maxHedgeEstimate = 1.4
+	// sampleProbeTimeout ends a probe that was sent for sampling. It is longer than calls wait for the reply:
+	// a late reply still tells the load, and leaves a connection that can be used again. A probe that is cut
+	// off as its call stops waiting costs the endpoint a new connection the next time.
+	sampleProbeTimeout = 500 * time.Millisecond
 	// reportTTL is how long the latest report of an endpoint is more useful than none.
 	reportTTL = 150 * time.Millisecond
 )
@@ -106,19 +110,38 @@
 		return false
 	}
 	c.sampled = true
-	if !b.samplingBudget.spend(now, len(c.samples), b.sampling.ProbesPerSecond) {
+	if !b.samplingBudget.spend(now, c.probesNeeded(), b.sampling.ProbesPerSecond) {
 		return b.sampleFromReports(now, c)
 	}
 	c.phase = phaseSampling
-	deadline := now.Add(b.sampling.Timeout)
-	c.samplingDue = deadline
+	c.samplingDue = now.Add(b.sampling.Timeout)
 	for _, s := range c.samples {
-		b.emit(Probe{Call: c.ID, Endpoint: s.endpoint.name(), Address: s.endpoint.Address, Path: b.probePath, Deadline: deadline})
+		b.probeForCall(now, c, s.endpoint)
 	}
-	b.schedule(deadline, c.ID, timerSampling)
+	b.schedule(c.samplingDue, c.ID, timerSampling)
 	return true
 }
 
+// probeForCall sends a probe to the endpoint, unless the reply to an earlier one is expected.
+func (b *Balancer) probeForCall(now time.Time, c *call, e *endpoint) {
+	e.samplingCalls = append(e.samplingCalls, c.ID)
+	if e.probedAt.IsZero() {
+		e.probedAt = now
+		b.emit(Probe{Call: c.ID, Endpoint: e.name(), Address: e.Address, Path: b.probePath, Deadline: now.Add(sampleProbeTimeout)})
+	}
+}
+
+// probesNeeded returns how many probes the samples of a call need.
+func (c *call) probesNeeded() int {
+	n := 0
+	for i := range c.samples {
+		if c.samples[i].endpoint.probedAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // sampleFromReports uses the recent reports of endpoints in place of probes. It returns false if
 // there are none.
 func (b *Balancer) sampleFromReports(now time.Time, c *call) bool {
@@ -179,14 +202,27 @@
 func (s *sample) sentSinceProbe() int { return s.endpoint.sent - s.sentBeforeProbe }
 
 func (b *Balancer) pickForSampling(now time.Time, c *call, passedOver []*endpoint) int {
-	return b.picker.Draw(b.candidates, c.sampled, func(i int) bool {
+	return b.picker.Draw(b.candidates, c.samplingTier(), c.sampled, func(i int) bool {
 		return !b.maySample(now, c, b.endpoints[i]) || slices.Contains(passedOver, b.endpoints[i])
 	})
 }
 
+// samplingTier returns the last tier that the call probes as long as it finds endpoints there.
+func (c *call) samplingTier() picker.Tier {
+	if c.sampled {
+		return picker.TierReserve
+	}
+	return picker.TierPreferred
+}
+
 // maySample reports whether the call may probe the endpoint.
 func (b *Balancer) maySample(now time.Time, c *call, e *endpoint) bool {
-	return !c.hasTried(e) && !c.hasSampled(e) && !c.wasUnresponsive(e) && !e.ejected() && !b.picker.HasStraggler(now, &b.candidates[e.index])
+	return !c.hasTried(e) && !c.hasSampled(e) && !c.wasUnresponsive(e) && !e.ejected() && !b.isReplyLate(now, e) && !b.picker.HasStraggler(now, &b.candidates[e.index])
+}
+
+// isReplyLate reports whether the endpoint has not replied to a probe in the time that a call waits for it.
+func (b *Balancer) isReplyLate(now time.Time, e *endpoint) bool {
+	return !e.probedAt.IsZero() && now.Sub(e.probedAt) >= b.sampling.Timeout
 }
 
 func (c *call) wasUnresponsive(e *endpoint) bool { return slices.Contains(c.unresponsive, e) }
@@ -200,13 +236,26 @@
 	return false
 }
 
-// onSampled handles the reply of an endpoint that was probed for a call.
+// onSampled handles the end of a probe that was sent for sampling. The reply counts for each call that waits for it.
 func (b *Balancer) onSampled(now time.Time, v ProbeEnded) {
-	if e := b.endpointsByName[v.Endpoint]; e != nil && v.OK {
-		b.recordReport(now, e, v.Report, len(e.inFlight))
-		b.observeProbe(now, e, v)
+	waiting := []CallID{v.Call}
+	if e := b.endpointsByName[v.Endpoint]; e != nil {
+		waiting = e.samplingCalls
+		e.samplingCalls = nil
+		e.probedAt = time.Time{}
+		if v.OK {
+			b.recordReport(now, e, v.Report, len(e.inFlight))
+			b.observeProbe(now, e, v)
+		}
+	}
+	for _, id := range waiting {
+		b.sampleCall(now, id, v)
 	}
-	c, ok := b.calls[v.Call]
+}
+
+// sampleCall adds the reply of an endpoint to the samples of a call.
+func (b *Balancer) sampleCall(now time.Time, id CallID, v ProbeEnded) {
+	c, ok := b.calls[id]
 	if !ok || c.phase != phaseSampling {
 		return
 	}
--- a/core/balancer/sampling_test.go
+++ b/core/balancer/sampling_test.go
@@ -203,3 +203,48 @@
 		assert.Assert(t, delay >= 0 && delay <= minRetryAfter+remaining)
 	}
 }
+
+// TestLateReplyIsAwaited guards against probes that are cut off as their call stops waiting: each would cost the
+// endpoint a new connection. Until it has replied, the endpoint is not probed again.
+func TestLateReplyIsAwaited(t *testing.T) {
+	h := newSamplingHarness(t, 3)
+	first := h.arrive(1, 0)
+	for _, p := range first {
+		assert.Equal(t, p.Deadline, h.now.Add(sampleProbeTimeout))
+	}
+	h.now = h.now.Add(20 * time.Millisecond)
+	h.Handle(h.now, Tick{})
+	for id := CallID(2); id < 9; id++ {
+		for _, p := range h.arrive(id, 0) {
+			assert.Assert(t, p.Endpoint != first[0].Endpoint && p.Endpoint != first[1].Endpoint)
+		}
+		h.now = h.now.Add(50 * time.Millisecond)
+	}
+	h.Handle(h.now, probeReply(first[0], 0, 1))
+	probed := map[string]bool{}
+	for id := CallID(9); id < 40; id++ {
+		for _, p := range h.arrive(id, 0) {
+			probed[p.Endpoint] = true
+			h.Handle(h.now, probeReply(p, 0, 1))
+		}
+	}
+	assert.Assert(t, probed[first[0].Endpoint] && !probed[first[1].Endpoint])
+}
+
+// TestCallsShareProbes guards against a probe for each call where the reply to an earlier one is due any moment.
+func TestCallsShareProbes(t *testing.T) {
+	h := newSamplingHarness(t, 2)
+	probes := h.arrive(1, 0)
+	assert.Equal(t, len(probes), 2)
+	assert.Equal(t, len(h.arrive(2, 0)), 0)
+	sent := map[CallID]string{}
+	for _, p := range probes {
+		for _, a := range h.Handle(h.now, probeReply(p, 0, 1)) {
+			if d, ok := a.(Dispatch); ok {
+				sent[d.Call] = d.Endpoint
+			}
+		}
+	}
+	assert.Equal(t, len(sent), 2)
+	assert.Equal(t, len(h.arrive(3, 0)), 2)
+}
--- a/core/balancer/subset.go
+++ b/core/balancer/subset.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreyplank.org/core/picker"
 )
 
 // Sizes of the subset of endpoints that an entry prefers, in its own data centre and in others:
@@ -15,6 +17,13 @@
 	remoteSubset = 4
 )
 
+// Sizes of the reserve, in which a call that found no room in the subset looks for some. It is far smaller than a
+// large service, so that its connections are used again too.
+const (
+	localReserve  = 10
+	remoteReserve = 20
+)
+
 // rankOf returns the sort key of an endpoint in the order of an entry. Each entry has its own
 // order, so that all entries together cover the endpoints evenly, and an endpoint that is added
 // or removed moves no other.
@@ -27,19 +36,33 @@
 	slices.SortFunc(b.ranked, func(x, y *endpoint) int { return cmp.Compare(x.rank, y.rank) })
 }
 
-// chooseSubset marks the preferred endpoints: the first ones by rank that accept requests.
+// chooseSubset sets the tiers of the endpoints: the first ones by rank that accept requests are preferred, and the
+// next ones are the reserve.
 func (b *Balancer) chooseSubset() {
 	b.subsetChanged = false
-	local, remote := localSubset, remoteSubset
+	local, remote := 0, 0
 	for _, e := range b.ranked {
 		c := &b.candidates[e.index]
-		remaining := &local
-		if c.Remote {
-			remaining = &remote
-		}
-		c.Preferred = !c.Closed && *remaining > 0
-		if c.Preferred {
-			*remaining--
+		switch {
+		case c.Closed:
+			c.Tier = picker.TierRest
+		case c.Remote:
+			c.Tier = tierOf(remote, remoteSubset, remoteReserve)
+			remote++
+		default:
+			c.Tier = tierOf(local, localSubset, localReserve)
+			local++
 		}
 	}
 }
+
+// tierOf returns the tier of the endpoint at a position in the order of the entry.
+func tierOf(position, subset, reserve int) picker.Tier {
+	switch {
+	case position < subset:
+		return picker.TierPreferred
+	case position < subset+reserve:
+		return picker.TierReserve
+	}
+	return picker.TierRest
+}
--- a/core/picker/fresh.go
+++ b/core/picker/fresh.go
@@ -88,22 +88,22 @@
 	return math.Exp(c.bias * math.Exp(-float64(now.Sub(c.biasAt))/float64(biasDecayTime)))
 }
 
-// Draw returns the position of a random candidate, or None. It draws from the preferred
-// candidates if one of them is eligible, and favours local candidates over remote ones. If
-// uniform is set, all eligible candidates are equally likely. Draw passes over positions for
-// which skip returns true.
-func (k *Picker) Draw(list []Candidate, uniform bool, skip func(int) bool) int {
+// Draw returns the position of a random candidate, or None. It draws from the candidates of the given tier and those
+// before it, or from all if none of them is eligible. Local candidates are favoured over remote ones, unless uniform is
+// set. Draw passes over positions for which skip returns true.
+func (k *Picker) Draw(list []Candidate, last Tier, uniform bool, skip func(int) bool) int {
+	weight := localityWeight
 	if uniform {
-		return k.draw(list, skip, func(*Candidate) int { return 1 })
+		weight = func(*Candidate) int { return 1 }
 	}
 	chosen := k.draw(list, skip, func(c *Candidate) int {
-		if !c.Preferred {
+		if c.Tier < last {
 			return 0
 		}
-		return localityWeight(c)
+		return weight(c)
 	})
 	if chosen == None {
-		return k.draw(list, skip, localityWeight)
+		return k.draw(list, skip, weight)
 	}
 	return chosen
 }
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -80,6 +80,16 @@
 func (RoundRobin) policy()    {}
 func (LeastInFlight) policy() {}
 
+// Tier is a group of candidates in the order in which they are probed.
+type Tier uint8
+
+// The tiers, from the last to the first.
+const (
+	TierRest Tier = iota
+	TierReserve
+	TierPreferred
+)
+
 // Candidate holds what the choice takes into account about an endpoint.
 type Candidate struct {
 	// Slots is the number of requests that the endpoint runs concurrently; at least 1.
@@ -90,8 +100,8 @@
 	InFlight int
 	// Remote marks an endpoint in another data centre.
 	Remote bool
-	// Preferred endpoints are probed before the others.
-	Preferred bool
+	// Tier tells which endpoints are probed before others.
+	Tier Tier
 	// Closed endpoints get no new requests.
 	Closed bool
 	// WarmUpStart is the time when the endpoint began to serve.
