Ask callers for a key where the document lists workspaces

Requests carried no identity that the entry knew. The authenticator, built from the document, now finds the workspace of a request by its key between the match of a route and the limits. Requests without exactly one valid key are refused before any other work; an unknown key is refused for good only under the configuration lease. Endpoints get the workspace and never the key. The fingerprint of a once-only request covers the workspace. The console names the workspaces that a draft changes, without their keys. Documents without workspaces behave as before.

--- a/control/console/difference.go
+++ b/control/console/difference.go
@@ -39,9 +39,41 @@
 			add("Endpoint %s of %s may get work again.", s.Endpoint, s.Service)
 		}
 	}
+	return append(lines, describeWorkspaceChanges(old.Workspaces, draft.Workspaces)...)
+}
+
+// describeWorkspaceChanges names the workspaces that have changed. It tells how many keys there are, and none of them.
+func describeWorkspaceChanges(old, draft []validator.Workspace) []string {
+	var lines []string
+	add := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	for _, w := range draft {
+		i := slices.IndexFunc(old, func(o validator.Workspace) bool { return o.Name == w.Name })
+		switch {
+		case i < 0:
+			add("Workspace %s is new, with %d keys.", w.Name, len(w.Keys))
+			continue
+		case !slices.Equal(old[i].Keys, w.Keys):
+			add("Workspace %s: its keys have changed; there are %d.", w.Name, len(w.Keys))
+		}
+		if !samePriority(old[i].Priority, w.Priority) || old[i].RatePerSecond != w.RatePerSecond || old[i].Burst != w.Burst {
+			add("Workspace %s: its priority or its rate limit has changed.", w.Name)
+		}
+	}
+	for _, o := range old {
+		if !slices.ContainsFunc(draft, func(w validator.Workspace) bool { return w.Name == o.Name }) {
+			add("Workspace %s is removed: its keys are not valid any more.", o.Name)
+		}
+	}
 	return lines
 }
 
+func samePriority(a, b *int) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 func formatStopTime(at time.Time) string {
 	if at.IsZero() {
 		return "at once"
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -63,6 +63,10 @@
 	Chained bool
 	// Streamed is set when the request body can be sent only once.
 	Streamed bool
+	// Workspace is the workspace that has sent the request by its key; empty without one.
+	Workspace string
+	// Priority is that of the workspace or the route. The lowest value is the most urgent.
+	Priority int
 	// Key and Fingerprint are set for once-only requests.
 	Key         string
 	Fingerprint string
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -22,6 +22,7 @@
 	statements   *prometheus.CounterVec
 	permits      *prometheus.CounterVec
 	limitedCalls *prometheus.CounterVec
+	keyRefusals  *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
 }
 
@@ -52,12 +53,15 @@
 		limitedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_limited_calls_total", Help: "Calls that lacked a permit, by service and whether they passed an endpoint over, waited, or were refused.",
 		}, []string{"service", "result"}),
+		keyRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_key_refusals_total", Help: "Requests refused because of their key or of this entry's lease, by reason.",
+		}, []string{"reason"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.keyRefusals, c.calls)
 	return c
 }
 
@@ -87,6 +91,9 @@
 	c.statements.WithLabelValues(service, statement).Inc()
 }
 
+// KeyRefused counts a request that was refused because of its key or of the entry's lease.
+func (c *Counter) KeyRefused(reason string) { c.keyRefusals.WithLabelValues(reason).Inc() }
+
 // LimitCounts adds what the limits of endpoints have caused.
 func (c *Counter) LimitCounts(service string, added balancer.LimitCounts) {
 	c.permits.WithLabelValues(service, "granted").Add(float64(added.Granted))
--- a/entry/dispatcher/body.go
+++ b/entry/dispatcher/body.go
@@ -27,16 +27,16 @@
 )
 
 // readWithinDeadline reads a request, and requires that its body arrive by the call's deadline.
-func (d *Dispatcher) readWithinDeadline(r *http.Request, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
+func (d *Dispatcher) readWithinDeadline(r *http.Request, call *balancer.Call, from sender) (forwarder.Request, *translator.Refusal) {
 	body := receiver.BodyOf(r)
 	if body == nil {
-		return d.readRequest(r, nil, call)
+		return d.readRequest(r, nil, call, from)
 	}
 	limit := d.activeConfig.Load().limits.MaxBodyBytes
 	body.Limit(int64(limit))
 	body.SetDeadline(call.Deadline)
 	defer body.SetDeadline(time.Time{})
-	request, problem := d.readRequest(r, body, call)
+	request, problem := d.readRequest(r, body, call, from)
 	if errors.Is(body.Err(), receiver.ErrTooLarge) {
 		return request, notRunRefusal(http.StatusRequestEntityTooLarge, bodyLimitDetail(limit))
 	}
@@ -45,7 +45,7 @@
 
 // readRequest reads what the attempts will send. A body too large to be kept can be sent only
 // once. The body is nil if the request has none.
-func (d *Dispatcher) readRequest(r *http.Request, rest *receiver.Body, call *balancer.Call) (forwarder.Request, *translator.Refusal) {
+func (d *Dispatcher) readRequest(r *http.Request, rest *receiver.Body, call *balancer.Call, from sender) (forwarder.Request, *translator.Refusal) {
 	limit := maxRetryBodyBytes
 	if call.Execution == router.OnceOnly {
 		limit = maxOnceOnlyBodyBytes
@@ -54,11 +54,11 @@
 	if err != nil {
 		return forwarder.Request{}, bodyRefusal(err)
 	}
-	request := forwarder.Request{Method: r.Method, Target: target(r), Host: r.Host, Header: d.forwardedHeader(r, call.Request), Body: body, ContentLength: int64(len(body))}
+	request := forwarder.Request{Method: r.Method, Target: target(r), Host: r.Host, Header: d.forwardedHeader(r, call.Request, from), Body: body, ContentLength: int64(len(body))}
 	if len(body) <= limit {
 		call.Key = r.Header.Get(idempotencyKeyHeader)
 		if call.Execution == router.OnceOnly {
-			call.Fingerprint = fingerprint(r, body)
+			call.Fingerprint = fingerprint(r, call.Workspace, body)
 		}
 		return request, nil
 	}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/uuid"
 
+	"comfreyplank.org/core/authenticator"
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/drainer"
 	"comfreyplank.org/core/messenger"
@@ -53,8 +54,9 @@
 
 // activeConfig is the part of the document in effect that new requests need.
 type activeConfig struct {
-	router router.Router
-	limits validator.Limits
+	router        router.Router
+	authenticator authenticator.Authenticator
+	limits        validator.Limits
 }
 
 // New returns a dispatcher without services. The incarnation is unique to this start of the
@@ -69,6 +71,7 @@
 // Configure applies a document.
 func (d *Dispatcher) Configure(doc validator.Document) {
 	r := router.New(doc)
+	a := authenticator.New(doc)
 	d.mu.Lock()
 	for _, service := range doc.Services {
 		if d.dispatchers[service.Name] == nil {
@@ -78,7 +81,7 @@
 		}
 	}
 	d.mu.Unlock()
-	d.activeConfig.Store(&activeConfig{router: r, limits: doc.Limits})
+	d.activeConfig.Store(&activeConfig{router: r, authenticator: a, limits: doc.Limits})
 	d.configuredOnce.Do(func() { close(d.configured) })
 }
 
@@ -207,16 +210,30 @@
 		})
 		return
 	}
+	standing := false
+	if config.authenticator.Enabled() {
+		// The lease comes first, so that it holds for the document that is used.
+		standing = d.holdsConfigLease()
+		config = d.activeConfig.Load()
+	}
 	match, ok := config.router.Match(r.Host, routedPath(r))
 	if !ok {
 		d.refuse(w, parsed.ID, http.StatusNotFound, "no route leads there")
 		return
 	}
+	from, refusal := d.authenticate(r, config, match, standing)
+	if refusal == nil {
+		refusal = d.admit(from.workspace, from.priority)
+	}
+	if refusal != nil {
+		d.refuseWith(w, parsed.ID, *refusal)
+		return
+	}
 	if status, detail := checkLimits(r, config.limits); status != 0 {
 		d.refuse(w, parsed.ID, status, detail)
 		return
 	}
-	d.serve(w, r, match, parsed)
+	d.serve(w, r, match, parsed, from)
 }
 
 // checkLimits returns the status and detail of the refusal if a request exceeds the limits for
@@ -234,11 +251,16 @@
 func bodyLimitDetail(bytes int) string { return fmt.Sprintf("the body is limited to %d bytes", bytes) }
 
 func (d *Dispatcher) refuse(w http.ResponseWriter, id string, status int, detail string) {
-	d.deps.Publish(recorder.Event{Kind: recorder.KindCallRefused, Request: id, Detail: fmt.Sprintf("status %d: %s", status, detail)})
-	d.deps.Callers.Refuse(w, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail, Request: id})
+	d.refuseWith(w, id, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail})
 }
 
-func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, parsed translator.Request) {
+func (d *Dispatcher) refuseWith(w http.ResponseWriter, id string, refusal translator.Refusal) {
+	d.deps.Publish(recorder.Event{Kind: recorder.KindCallRefused, Request: id, Detail: fmt.Sprintf("status %d: %s", refusal.Status, refusal.Detail)})
+	refusal.Request = id
+	d.deps.Callers.Refuse(w, refusal)
+}
+
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, parsed translator.Request, from sender) {
 	arrivedAt := d.deps.Now()
 	service := match.PickService(rand.Float64())
 	s := d.serviceDispatcher(service)
@@ -250,6 +272,8 @@
 		Deadline:      d.deadline(parsed, match),
 		AttemptLimit:  match.Route.Attempts,
 		LatencyTarget: time.Duration(match.Route.LatencyTargetMs) * time.Millisecond,
+		Workspace:     from.name(),
+		Priority:      from.priority,
 	}
 	if shutdown := d.shutdown.Load(); shutdown != nil {
 		by, ok := shutdown.Accepts(arrivedAt, call.Deadline)
@@ -259,7 +283,7 @@
 		}
 		call.Deadline = by
 	}
-	request, problem := d.readWithinDeadline(r, &call)
+	request, problem := d.readWithinDeadline(r, &call, from)
 	if problem != nil {
 		problem.Request = parsed.ID
 		d.deps.Callers.Refuse(w, *problem)
@@ -311,10 +335,15 @@
 }
 
 // fingerprint identifies a request, to distinguish different requests with the same key. It
-// covers the caller's credentials, so that nobody gets the response to someone else's request.
-func fingerprint(r *http.Request, body []byte) string {
+// covers the caller's credentials and workspace, so that nobody gets the response to someone else's request. Without
+// a workspace it is the same as in versions that knew none, as claims outlive a version.
+func fingerprint(r *http.Request, workspace string, body []byte) string {
 	h := sha256.New()
-	for _, part := range []string{r.Method, r.Host, target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")} {
+	parts := []string{r.Method, r.Host, target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")}
+	if workspace != "" {
+		parts = append(parts, workspace)
+	}
+	for _, part := range parts {
 		_, _ = io.WriteString(h, part+"\x00")
 	}
 	_, _ = h.Write(body)
@@ -337,7 +366,7 @@
 }
 
 // forwardedHeader returns the header that is forwarded to the endpoint.
-func (d *Dispatcher) forwardedHeader(r *http.Request, id string) http.Header {
+func (d *Dispatcher) forwardedHeader(r *http.Request, id string, from sender) http.Header {
 	h := removeHopByHop(r.Header.Clone())
 	if strings.Contains(strings.ToLower(r.Header.Get("Te")), "trailers") {
 		h.Set("Te", "trailers")
@@ -345,6 +374,12 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps the transport from adding its own
 	}
+	if from.reserved {
+		removeFields(h, d.deps.Callers.KeyHeader, d.deps.Callers.WorkspaceHeader)
+	}
+	if from.workspace != nil {
+		h[d.deps.Callers.WorkspaceHeader] = []string{from.workspace.Name}
+	}
 	d.deps.Callers.PrepareForward(h, r, id)
 	return h
 }
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -38,6 +38,8 @@
 
 func (noCounter) Statement(string, string) {}
 
+func (noCounter) KeyRefused(string) {}
+
 func (noCounter) LimitCounts(string, balancer.LimitCounts) {}
 
 // fixture is a dispatcher with real connections to test endpoints, and a claims log in memory.
@@ -48,12 +50,13 @@
 	group   sync.WaitGroup
 	mu      sync.Mutex
 	claimer *claimer.Claimer
+	events  []recorder.Event
 }
 
 func newFixture(t testing.TB, endpoints ...string) *fixture {
 	f := &fixture{t: t, claimer: claimer.New()}
 	f.Dispatcher = New("entry", Dependencies{
-		Now: time.Now, Start: f.group.Go, Publish: func(recorder.Event) {}, Claim: f.claim, Counter: noCounter{},
+		Now: time.Now, Start: f.group.Go, Publish: f.publish, Claim: f.claim, Counter: noCounter{},
 	})
 	service := validator.Service{Name: "s", QueueLimit: 10, RetryPercent: 100, Routes: []validator.Route{
 		{PathPrefix: "/", DeadlineMs: 5000, Class: validator.ClassInteractive},
@@ -95,6 +98,12 @@
 	return list
 }
 
+func (f *fixture) publish(e recorder.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, e)
+}
+
 func (f *fixture) claim(service string, call balancer.CallID, cmd claimer.Command) {
 	f.mu.Lock()
 	result := f.claimer.Apply(cmd)
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -68,6 +68,7 @@
 	LimitStatement(service string, kind throttler.StatementKind)
 	LimitCounts(service string, added balancer.LimitCounts)
 	Statement(service, statement string)
+	KeyRefused(reason string)
 }
 
 // callResult is the result of a call: a response, a stored response or a refusal.
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -23,6 +23,9 @@
 	AttemptHeader = "Comfreyplank-Attempt"
 	RequestHeader = "Comfreyplank-Request-Id"
 	LoadHeader    = "Endpoint-Load-Metrics"
+	// KeyHeader is the caller's key, and WorkspaceHeader the workspace that holds it.
+	KeyHeader       = "Comfreyplank-Key"
+	WorkspaceHeader = "Comfreyplank-Workspace"
 	// ProbePath is the path that endpoints answer with a LoadHeader.
 	ProbePath = "/comfreyplank/v1/probe"
 )
@@ -32,7 +35,10 @@
 
 // NativeCallers returns the product's own protocol with callers.
 func NativeCallers() Callers {
-	return Callers{ParseRequest: parseNativeRequest, Refuse: writeNativeRefusal, PrepareResponse: prepareNativeResponse, PrepareForward: prepareNativeForward}
+	return Callers{
+		ParseRequest: parseNativeRequest, Refuse: writeNativeRefusal, PrepareResponse: prepareNativeResponse, PrepareForward: prepareNativeForward,
+		KeyHeader: KeyHeader, WorkspaceHeader: WorkspaceHeader,
+	}
 }
 
 // NativeEndpoints returns the product's own protocol with endpoints.
--- a/entry/translator/translator.go
+++ b/entry/translator/translator.go
@@ -42,6 +42,11 @@
 	PrepareResponse func(h http.Header, id string)
 	// PrepareForward completes the header that is forwarded to endpoints, once for all attempts.
 	PrepareForward func(h http.Header, r *http.Request, id string)
+	// KeyHeader is the header field with the caller's key, and WorkspaceHeader the one by which endpoints learn the
+	// workspace that holds it. Both are in canonical form. With a document that lists workspaces, endpoints never get
+	// these fields as the caller sent them.
+	KeyHeader       string
+	WorkspaceHeader string
 }
 
 // Attempt describes one sending of a request to an endpoint.
