Take a quorum contact only when all that was committed by then is known

A follower took over the leader's contact with a quorum from every append, also from one that it rejected because it lacked entries, and a new leader counted its contact before it knew which entries of earlier terms were committed. Replicas grant configuration leases by that contact, so one that was catching up could grant them at an old revision. A follower now takes the time only if its commit index reaches the leader's, and a leader has no contact before the first entry of its term is committed. The tests of the replicas check it after each step; they failed before. Resume forgets the contact from before a suspension.

--- a/core/replicator/election.go
+++ b/core/replicator/election.go
@@ -114,6 +114,16 @@
 	r.resetElectionTimeout(now)
 }
 
+// Resume continues after a time in which the clock stood still. What was measured before doesn't hold any more: a leader
+// steps down, and messages that refer to earlier times of this replica are not taken for contact with a quorum.
+func (r *Replica) Resume(now time.Time) {
+	if r.role != RoleFollower {
+		r.becomeFollower(now, r.state.Term, "")
+	}
+	r.lastQuorumContact = time.Time{}
+	r.incarnation = r.rand.Uint64()
+}
+
 // Receive handles a message from another replica.
 func (r *Replica) Receive(now time.Time, e Envelope) {
 	if e.To != r.id {
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -142,7 +142,7 @@
 	// lastLeaderContact is when the last message of the current leader arrived.
 	lastLeaderContact time.Time
 	// lastQuorumContact is the latest time at which a quorum is known to have followed the
-	// leader of this term; zero if there is none.
+	// leader of this term; zero if there is none. At a follower, commitIndex includes what was committed by then.
 	lastQuorumContact time.Time
 	// nextHeartbeat is when the leader's next heartbeats are due, and lastBroadcast is when it
 	// sent the last ones.
@@ -314,8 +314,14 @@
 }
 
 // LastQuorumContact returns the latest time at which a quorum is known to have followed the
-// leader of this term, or zero if there is none.
-func (r *Replica) LastQuorumContact() time.Time { return r.lastQuorumContact }
+// leader of this term, or zero if there is none. Commit includes every entry that was committed by then; a new leader
+// knows that only once the first entry of its term is committed.
+func (r *Replica) LastQuorumContact() time.Time {
+	if r.role == RoleLeader && r.commitIndex < r.termStart {
+		return time.Time{}
+	}
+	return r.lastQuorumContact
+}
 
 // ElectedAt returns when this replica became leader.
 func (r *Replica) ElectedAt() time.Time { return r.electedAt }
--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -32,7 +32,9 @@
 	leaderOfTerm map[uint64]ID
 	// committed is the longest log that any node has applied.
 	committed []Entry
-	lossRate  float64
+	// committedAt is when each of these entries was applied first.
+	committedAt []time.Time
+	lossRate    float64
 }
 
 func newNetwork(t interface{ Fatalf(string, ...any) }, n int, seed uint64) *network {
@@ -124,11 +126,14 @@
 			w.t.Fatalf("%s skipped to index %d after %d", n.ID(), e.Index, len(w.committed)+1)
 		}
 		w.committed = append(w.committed, e)
+		w.committedAt = append(w.committedAt, w.now)
 	}
 }
 
-// check asserts that a term has one leader, and that the leader has all committed entries.
+// check asserts that a term has one leader, that the leader has all committed entries, and that a replica that claims
+// contact with a quorum knows all that had been committed by then.
 func (w *network) check(n *node) {
+	w.checkContact(n)
 	if n.Role() != RoleLeader {
 		return
 	}
@@ -143,6 +148,18 @@
 	}
 }
 
+// checkContact asserts that a replica knows all entries that had been committed before its last contact with a quorum.
+func (w *network) checkContact(n *node) {
+	contact := n.LastQuorumContact()
+	if contact.IsZero() {
+		return
+	}
+	known, _ := slices.BinarySearchFunc(w.committedAt, contact, time.Time.Compare) // those before the contact
+	if n.Commit() < uint64(known)+1 {
+		w.t.Fatalf("%s claims contact with a quorum %s ago, knows index %d, and %d had been committed by then", n.ID(), w.now.Sub(contact), n.Commit(), known+1)
+	}
+}
+
 // step advances time by d, delivers the messages in flight and ticks every node.
 func (w *network) step(d time.Duration) {
 	w.now = w.now.Add(d)
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -87,8 +87,8 @@
 		return
 	}
 	quorumAge := time.Duration(-1)
-	if !r.lastQuorumContact.IsZero() {
-		quorumAge = now.Sub(r.lastQuorumContact)
+	if contact := r.LastQuorumContact(); !contact.IsZero() {
+		quorumAge = now.Sub(contact)
 	}
 	r.sendEntries(to, p, r.localTime(now), quorumAge)
 }
@@ -127,7 +127,6 @@
 
 func (r *Replica) onAppend(now time.Time, e Envelope, m Append) {
 	r.followLeader(now, e.From)
-	r.updateQuorumContactFromLeader(m)
 	reply := r.reply(now, m.LeaderTime)
 	switch term, ok := r.log.term(m.PrevIndex); {
 	case m.PrevIndex < r.commitIndex:
@@ -149,6 +148,7 @@
 	if reply.OK {
 		r.raiseCommitIndex(min(m.Commit, reply.Match))
 	}
+	r.updateQuorumContactFromLeader(m)
 	r.send(e.From, reply)
 }
 
@@ -270,9 +270,10 @@
 
 // updateQuorumContactFromLeader derives, on the local clock, a time at which a quorum certainly
 // followed the leader: the leader sent m after it handled the reply that this replica sent at
-// m.Echo.
+// m.Echo. A replica that lacks entries which the leader knows as committed, because it is catching up, doesn't take
+// the time: it must not be taken for up to date.
 func (r *Replica) updateQuorumContactFromLeader(m Append) {
-	if m.QuorumAge < 0 || m.EchoRun != r.incarnation {
+	if m.QuorumAge < 0 || m.EchoRun != r.incarnation || r.commitIndex < m.Commit {
 		return
 	}
 	at := r.epoch.Add(m.Echo - m.QuorumAge)
