Store evacuations of data centres in the configuration log

An operator needs to take a data centre out of service with the same guarantees as a document. It carries the revision that it is based on, so that a command that is stored twice does not revoke a later order. A document may be based on any revision since the current document.

--- a/core/committer/committer.go
+++ b/core/committer/committer.go
@@ -1,5 +1,5 @@
 // Package committer is the state machine of the configuration log. It decides which changes are
-// accepted, and stores its answers and the departures of endpoints.
+// accepted, and stores its answers, the departures of endpoints and the evacuations of data centres.
 package committer
 
 import (
@@ -31,7 +31,7 @@
 	VerdictSuperseded Verdict = "superseded"
 )
 
-// Command is an entry of the configuration log: a Change or a Departure.
+// Command is an entry of the configuration log: a Change, a Departure or an Evacuation.
 type Command interface{ command() }
 
 // Change replaces the current document.
@@ -53,6 +53,8 @@
 type encodedCommand struct {
 	Document  *validator.Document     `json:"document,omitempty"`
 	Departure *registrar.Announcement `json:"departure,omitempty"`
+	// Evacuation was added later; a replica of an earlier version reads no command.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
 
 // ErrEmptyCommand is returned for a log entry that contains no known command.
@@ -77,11 +79,15 @@
 	// revision never decreases.
 	revision uint64
 	document validator.Document
+	// documentRevision is the revision that the current document created. Evacuations create revisions too.
+	documentRevision uint64
 	// answers are in the order in which the changes were decided.
 	answers          []Answer
 	answerByChangeID map[string]Answer
 	// departures holds the latest departure announcement of each endpoint, oldest first.
 	departures []registrar.Announcement
+	// evacuations holds the latest change of each data centre, the oldest first.
+	evacuations []storedEvacuation
 }
 
 // New returns a Committer before the first change, at revision 0 and without services.
@@ -103,6 +109,8 @@
 		e.Document = &v.Document
 	case Departure:
 		e.Departure = &v.Announcement
+	case Evacuation:
+		e.Evacuation = &v
 	}
 	data, err := json.Marshal(e)
 	return data, errors.Wrap(err, "encode command")
@@ -119,6 +127,8 @@
 		return Change{Document: *e.Document}, nil
 	case e.Departure != nil:
 		return Departure{Announcement: *e.Departure}, nil
+	case e.Evacuation != nil:
+		return *e.Evacuation, nil
 	}
 	return nil, ErrEmptyCommand
 }
@@ -137,6 +147,7 @@
 	if c.supersedes(doc) {
 		c.revision++
 		c.document = doc
+		c.documentRevision = c.revision
 		answer = Answer{ChangeID: doc.ChangeID, Verdict: VerdictAccepted, Revision: c.revision, Digest: digest}
 	}
 	if doc.Generation == 0 {
@@ -146,12 +157,12 @@
 }
 
 // supersedes reports whether a document may replace the current one. After a document with a
-// generation, one without a generation is never accepted.
+// generation, one without a generation is never accepted. An evacuation since the base revision doesn't matter.
 func (c *Committer) supersedes(doc validator.Document) bool {
 	if doc.Generation > 0 || c.document.Generation > 0 {
 		return doc.Generation > c.document.Generation
 	}
-	return doc.BaseRevision == c.revision
+	return doc.BaseRevision >= c.documentRevision && doc.BaseRevision <= c.revision
 }
 
 // Answer returns the answer to a change if it can be determined without appending the change to
@@ -177,7 +188,7 @@
 	}
 	answer := Answer{ChangeID: doc.ChangeID, Verdict: VerdictSuperseded, CurrentChangeID: c.document.ChangeID}
 	if doc.Generation == c.document.Generation {
-		answer.Revision = c.revision
+		answer.Revision = c.documentRevision
 	}
 	return answer, true
 }
@@ -254,11 +265,18 @@
 	Document   validator.Document       `json:"document"`
 	Answers    []Answer                 `json:"answers"`
 	Departures []registrar.Announcement `json:"departures,omitempty"`
+	// DocumentRevision is left out if it equals Revision, as it does without evacuations.
+	DocumentRevision *uint64            `json:"document-revision,omitempty"`
+	Evacuations      []storedEvacuation `json:"evacuations,omitempty"`
 }
 
 // Snapshot encodes the state for storage.
 func (c *Committer) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(encodedState{c.revision, c.document, c.answers, c.departures})
+	state := encodedState{Revision: c.revision, Document: c.document, Answers: c.answers, Departures: c.departures, Evacuations: c.evacuations}
+	if c.documentRevision != c.revision {
+		state.DocumentRevision = &c.documentRevision
+	}
+	data, err := json.Marshal(state)
 	return data, errors.Wrap(err, "encode configuration snapshot")
 }
 
@@ -277,6 +295,11 @@
 	c.document = state.Document
 	c.answers = state.Answers
 	c.departures = state.Departures
+	c.evacuations = state.Evacuations
+	c.documentRevision = state.Revision
+	if state.DocumentRevision != nil {
+		c.documentRevision = *state.DocumentRevision
+	}
 	for _, a := range state.Answers {
 		c.answerByChangeID[a.ChangeID] = a
 	}
--- a/core/committer/committer_test.go
+++ b/core/committer/committer_test.go
@@ -84,6 +84,8 @@
 	for _, command := range []Command{
 		Change{validator.Document{ChangeID: "c", Generation: 4, Source: "{}"}},
 		Departure{announcement(2, true)},
+		Evacuation{DataCentre: "dc", Active: true, BaseRevision: 3},
+		Evacuation{DataCentre: "dc"},
 	} {
 		data, err := Encode(command)
 		assert.NilError(t, err)
