Send nothing new to the endpoints of an evacuated data centre

Entries get the evacuated data centres with each configuration. The balancer closes their endpoints for attempts, hedges, retries and probes. Requests in flight end, and heartbeats do not list the endpoints. After their return they count as cold.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -73,6 +73,8 @@
 	registrar.Announcement
 	// Stopped is set when the configuration takes the endpoint out of service.
 	Stopped bool
+	// Evacuated is set while the data centre of the endpoint is evacuated.
+	Evacuated bool
 	// Remote is set for an endpoint in another data centre.
 	Remote bool
 	// LastDirectReport is when the endpoint itself last reported to this entry that it serves.
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -91,7 +91,7 @@
 
 // isServing reports whether the endpoint is announced as serving, as far as this entry can know.
 func (b *Balancer) isServing(now time.Time, e *endpoint) bool {
-	if e.removed || e.addressReused || e.Stopped || e.State != registrar.StateServing {
+	if e.removed || e.addressReused || e.Stopped || e.Evacuated || e.State != registrar.StateServing {
 		return false
 	}
 	if b.configLeaseOptional || b.holdsConfigLease(now) {
@@ -158,6 +158,8 @@
 	}
 	restarted := next.Incarnation != e.Incarnation
 	startedServing := e.State != registrar.StateServing && next.State == registrar.StateServing
+	// The endpoints of a data centre return together, to all entries at once.
+	returned := e.Evacuated && !next.Evacuated
 	if next.LastDirectReport.Before(e.LastDirectReport) {
 		next.LastDirectReport = e.LastDirectReport
 	}
@@ -167,7 +169,7 @@
 	}
 	e.Endpoint = next
 	e.removed = false
-	if restarted || startedServing {
+	if restarted || startedServing || returned {
 		b.candidates[e.index].WarmUpStart = now
 	}
 	if restarted {
--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -32,6 +32,8 @@
 	KindConfigApplied        Kind = "configuration-taken-up"
 	KindConfigAccepted       Kind = "configuration-accepted"
 	KindConfigConflict       Kind = "configuration-conflict"
+	KindEvacuationBegun      Kind = "evacuation-begun"
+	KindEvacuationFinished   Kind = "evacuation-finished"
 	KindLeaderChanged        Kind = "leader-changed"
 	KindMembershipChanged    Kind = "membership-changed"
 	KindEntryJoined          Kind = "entry-joined"
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -201,6 +201,7 @@
 	return balancer.Endpoint{
 		Announcement:     a,
 		Stopped:          s.document.Stopped(a.Service, a.Endpoint, now),
+		Evacuated:        slices.Contains(s.evacuated, a.DataCentre),
 		Remote:           a.DataCentre != s.hello.DataCentre,
 		LastDirectReport: s.directAt[a.Name],
 		Limit:            s.limitOf(a),
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -220,6 +220,8 @@
 	revision   uint64
 	configured bool
 	document   validator.Document
+	// evacuated lists the data centres whose endpoints get no requests. It belongs to revision.
+	evacuated []string
 
 	// relayed holds announcements passed on by replicas, direct those that endpoints made to
 	// this entry.
@@ -405,6 +407,7 @@
 	s.configured = true
 	if changed {
 		s.document = v.Document
+		s.setEvacuated(v.Evacuated)
 		s.emit(Configure{Revision: v.Revision, Document: v.Document})
 		s.record(recorder.KindConfigApplied, fmt.Sprintf("revision %d", v.Revision))
 		s.reconfigureAll(now)
@@ -414,6 +417,21 @@
 	}
 }
 
+// setEvacuated replaces the evacuated data centres.
+func (s *Subscriber) setEvacuated(names []string) {
+	for _, name := range names {
+		if !slices.Contains(s.evacuated, name) {
+			s.record(recorder.KindEvacuationBegun, "the endpoints in data centre "+name+" get no new requests")
+		}
+	}
+	for _, name := range s.evacuated {
+		if !slices.Contains(names, name) {
+			s.record(recorder.KindEvacuationFinished, "the endpoints in data centre "+name+" get requests again")
+		}
+	}
+	s.evacuated = slices.Clone(names)
+}
+
 func (s *Subscriber) onHeartbeatReply(now time.Time, v messenger.HeartbeatReply) {
 	sentAt, ok := s.takeHeartbeat(v.Sequence)
 	if !ok || !v.ConfigLease {
