Confirm orders to evacuate a data centre

A replica lets a quorum confirm its state before it answers an order, and proposes a command only if the order does not hold yet. The order is confirmed once it is in effect at every entry with a configuration lease, or after the effect timeout.

--- a/core/controller/action.go
+++ b/core/controller/action.go
@@ -65,6 +65,12 @@
 	Status   ApplyStatus
 }
 
+// EvacuateReply is the reply to an Evacuate. ApplyRefused means that the data centre is not known.
+type EvacuateReply struct {
+	Request uint64
+	Status  ApplyStatus
+}
+
 // DocumentReply is the reply to a ReadDocument.
 type DocumentReply struct {
 	Request  uint64
@@ -96,6 +102,7 @@
 func (StoreSnapshot) action()  {}
 func (BootstrapGroup) action() {}
 func (ApplyReply) action()     {}
+func (EvacuateReply) action()  {}
 func (DocumentReply) action()  {}
 func (Record) action()         {}
 
--- a/core/controller/configuration.go
+++ b/core/controller/configuration.go
@@ -36,11 +36,14 @@
 	reproposeAt time.Time
 }
 
-// pendingRead is a confirmed read in progress, for an operator or for an entry that connects.
+// pendingRead is a confirmed read in progress, for an operator, for an entry that connects or for an order to evacuate a
+// data centre.
 type pendingRead struct {
 	id      uint64
 	request uint64
 	conn    Conn
+	// evacuation is the request of the order that the read is for; zero for other reads.
+	evacuation uint64
 	// index is the log index that the state must include; zero until the read is confirmed.
 	index    uint64
 	deadline time.Time
@@ -150,6 +153,8 @@
 		c.applyChange(now, v)
 	case committer.Departure:
 		c.applyDeparture(now, v)
+	case committer.Evacuation:
+		c.applyEvacuation(now, v)
 	}
 }
 
@@ -251,11 +256,14 @@
 	}
 	c.pendingReads = kept
 	for _, p := range confirmed {
-		if p.request != 0 {
+		switch {
+		case p.request != 0:
 			c.replyToRead(p, true)
-			continue
+		case p.evacuation != 0:
+			c.proposeEvacuation(now, p.evacuation)
+		default:
+			c.confirmEntry(now, p.conn)
 		}
-		c.confirmEntry(now, p.conn)
 	}
 }
 
@@ -275,10 +283,13 @@
 	}
 	c.pendingReads = kept
 	for _, p := range expired {
-		if p.request != 0 {
+		switch {
+		case p.request != 0:
 			c.replyToRead(p, false)
-			continue
+		case p.evacuation != 0:
+			c.startEvacuationRead(now, p.evacuation)
+		default:
+			c.startEntryRead(now, p.conn)
 		}
-		c.startEntryRead(now, p.conn)
 	}
 }
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -82,11 +82,13 @@
 	entryUpdateAt time.Time
 	peerStates    map[string]*peerState
 
-	pendingApplies    []pendingApply
-	pendingDepartures []pendingDeparture
-	pendingReads      []pendingRead
-	lastReadID        uint64
-	claimWaiters      map[claimID]claimWaiter
+	pendingApplies []pendingApply
+	// pendingEvacuations are the orders whose operators wait for the reply.
+	pendingEvacuations []pendingEvacuation
+	pendingDepartures  []pendingDeparture
+	pendingReads       []pendingRead
+	lastReadID         uint64
+	claimWaiters       map[claimID]claimWaiter
 	// claimDeadlines lists the deadlines of claim waiters in order. It may include waiters that
 	// have already been removed.
 	claimDeadlines []claimDeadline
@@ -321,6 +323,8 @@
 		c.onPersisted(now, v)
 	case Apply:
 		c.onApply(now, v)
+	case Evacuate:
+		c.onEvacuate(now, v)
 	case Announce:
 		c.onAnnounce(now, v)
 	case ReadDocument:
@@ -351,6 +355,7 @@
 	c.sendLimitsIfDue(now)
 	c.updateRevisionInEffect(now)
 	c.replyToApplies(now)
+	c.replyToEvacuations(now)
 	c.replyToDepartures(now)
 	c.storeIfDue(now)
 }
--- a/core/controller/due.go
+++ b/core/controller/due.go
@@ -38,7 +38,7 @@
 
 // hasUnsettledWork reports whether the replica waits for entries or other replicas.
 func (c *Controller) hasUnsettledWork() bool {
-	if len(c.pendingApplies) > 0 || len(c.pendingDepartures) > 0 || !c.bootstrapped() || c.lagging != c.config.replica.LastQuorumContact().IsZero() {
+	if len(c.pendingApplies) > 0 || len(c.pendingEvacuations) > 0 || len(c.pendingDepartures) > 0 || !c.bootstrapped() || c.lagging != c.config.replica.LastQuorumContact().IsZero() {
 		return true
 	}
 	if c.revisionInEffect < c.committer.Revision() {
--- a/core/controller/input.go
+++ b/core/controller/input.go
@@ -51,6 +51,22 @@
 	EffectTimeout time.Duration
 }
 
+// Evacuate is an order of an operator to begin or finish the evacuation of a data centre.
+type Evacuate struct {
+	// Request is copied to the EvacuateReply.
+	Request    uint64
+	DataCentre string
+	// Active is set to begin the evacuation.
+	Active bool
+	// MustBeKnown is set to refuse a data centre of which this replica knows neither an endpoint nor an entry.
+	MustBeKnown bool
+	// Timeout limits the wait until a quorum has stored the order; zero means ApplyTimeout.
+	Timeout time.Duration
+	// EffectTimeout limits the wait for the order to be in effect. After it, the reply is ApplyNotInEffect. Zero means
+	// Timeout.
+	EffectTimeout time.Duration
+}
+
 // Announce is an announcement that an endpoint sent directly to this replica.
 type Announce struct {
 	// Request is copied to the AnnounceReply.
@@ -72,6 +88,7 @@
 func (EntryDisconnected) input()  {}
 func (Persisted) input()          {}
 func (Apply) input()              {}
+func (Evacuate) input()           {}
 func (Announce) input()           {}
 func (ReadDocument) input()       {}
 func (TransferLeadership) input() {}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -140,7 +140,9 @@
 
 func (c *Controller) sendConfig(conn Conn) {
 	c.entries[conn].sentRevision = c.committer.Revision()
-	c.emit(SendEntry{Conn: conn, Message: messenger.Configuration{Revision: c.committer.Revision(), Document: c.committer.Document().WithoutSource()}})
+	c.emit(SendEntry{Conn: conn, Message: messenger.Configuration{
+		Revision: c.committer.Revision(), Document: c.committer.Document().WithoutSource(), Evacuated: c.committer.Evacuated(),
+	}})
 }
 
 // pushConfig sends the configuration to all initialised entries, at most once in each
@@ -189,6 +191,7 @@
 	c.emit(SendEntry{Conn: conn, Message: reply})
 	c.updateRevisionInEffect(now)
 	c.replyToApplies(now)
+	c.replyToEvacuations(now)
 }
 
 func (c *Controller) onEntryDisconnected(now time.Time, conn Conn) {
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -16,15 +16,17 @@
 	Replica string `json:"replica"`
 	// InContactWithQuorum is false on a replica that may be partitioned, whose status may be out
 	// of date.
-	InContactWithQuorum bool                  `json:"hears-majority"`
-	Role                string                `json:"role"`
-	Leader              string                `json:"leader"`
-	Term                uint64                `json:"term"`
-	Revision            uint64                `json:"revision"`
-	InForce             uint64                `json:"in-force-everywhere"`
-	Claims              int                   `json:"claims"`
-	Members             replicator.Membership `json:"members"`
-	ClaimsMembers       replicator.Membership `json:"claims-members"`
+	InContactWithQuorum bool   `json:"hears-majority"`
+	Role                string `json:"role"`
+	Leader              string `json:"leader"`
+	Term                uint64 `json:"term"`
+	Revision            uint64 `json:"revision"`
+	InForce             uint64 `json:"in-force-everywhere"`
+	// Evacuated lists the data centres whose endpoints get no requests.
+	Evacuated     []string              `json:"evacuated,omitempty"`
+	Claims        int                   `json:"claims"`
+	Members       replicator.Membership `json:"members"`
+	ClaimsMembers replicator.Membership `json:"claims-members"`
 	// ClaimsLog is the state of the claims log.
 	ClaimsLog LogStatus                `json:"claims-log"`
 	Entries   []EntryStatus            `json:"entries"`
@@ -86,6 +88,7 @@
 		Term:                c.config.replica.Term(),
 		Revision:            c.committer.Revision(),
 		InForce:             c.revisionInEffect,
+		Evacuated:           c.committer.Evacuated(),
 		Claims:              c.claimer.Len(),
 		Members:             c.config.replica.Members(),
 		ClaimsMembers:       c.claims.replica.Members(),
@@ -113,6 +116,9 @@
 	return len(c.permits.Statuses()), c.permits.Issued()
 }
 
+// EvacuatedCount returns the number of evacuated data centres, as far as this replica knows.
+func (c *Controller) EvacuatedCount() int { return len(c.committer.Evacuated()) }
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (c *Controller) Document() (uint64, validator.Document) {
 	return c.committer.Revision(), c.committer.Document()
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -55,6 +55,7 @@
 	// accepted lists whether the announcements sent to replicas were accepted, in the
 	// order of the replies.
 	accepted         []bool
+	evacuateReplies  []controller.EvacuateReply
 	winnersByBase    map[uint64]string
 	repliesByChange  map[string]controller.ApplyReply
 	revisionInEffect uint64
@@ -151,6 +152,10 @@
 	limits []limitChange
 	// arrivals lists the attempts that reached the backend.
 	arrivals []arrival
+	// dataCentre is that of the backend; empty means "dc".
+	dataCentre string
+	// evacuated is set while the order to evacuate its data centre is in effect.
+	evacuated bool
 	// wish is what the backend says about new requests.
 	wish wish
 }
@@ -351,7 +356,7 @@
 func (s *simulation) announce(b *backend, e *simEntry) {
 	b.sequence++
 	a := registrar.Announcement{
-		Name: registrar.Name{Service: serviceName, Endpoint: b.name}, Address: "127.0.0.1:1", DataCentre: "dc",
+		Name: registrar.Name{Service: serviceName, Endpoint: b.name}, Address: "127.0.0.1:1", DataCentre: cmp.Or(b.dataCentre, "dc"),
 		Slots: cmp.Or(s.slots, slotsOfBackend), Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
 	}
 	if e.up && !e.frozen {
@@ -402,6 +407,8 @@
 		c.endpoints = v.Announcements
 	case controller.ApplyReply:
 		s.checkApplyReply(v)
+	case controller.EvacuateReply:
+		s.evacuateReplies = append(s.evacuateReplies, v)
 	case controller.DocumentReply:
 		s.checkRead(v)
 	case controller.AnnounceReply:
@@ -574,6 +581,9 @@
 	if !b.drainedAt.IsZero() && s.now.Sub(b.drainedAt) > maxDrainDelay {
 		s.t.Fatalf("%s got a new request %s after it announced its departure", b.name, s.now.Sub(b.drainedAt))
 	}
+	if b.evacuated && e.stateMachine.HoldsConfigLease(s.now) {
+		s.t.Fatalf("%s got a new request from %s while its data centre is evacuated", b.name, e.name)
+	}
 	b.arrivals = append(b.arrivals, arrival{at: s.now, from: e, told: e.bound(s.now, b.name), excused: s.isExcused(e)})
 	ending, starts, incarnation := b.outcome, e.starts, b.incarnation
 	known := e.known[b.name] == b.incarnation // otherwise the entry takes it for the one before
