--- a/control/console/console_test.go
+++ b/control/console/console_test.go
@@ -26,6 +26,8 @@
 	applied []validator.Document
 	result  operator.Result
 	status  int
+	// evacuated are the evacuated data centres.
+	evacuated []string
 }
 
 func (f *fakeReplica) ReadDocument(context.Context) (controller.DocumentReply, error) {
@@ -33,7 +35,7 @@
 }
 
 func (f *fakeReplica) Status() controller.Status {
-	return controller.Status{Replica: "c1", Endpoints: []registrar.Announcement{{Name: registrar.Name{Service: "rounds", Endpoint: "e1"}, State: "serving"}}}
+	return controller.Status{Replica: "c1", Evacuated: f.evacuated, Endpoints: []registrar.Announcement{{Name: registrar.Name{Service: "rounds", Endpoint: "e1"}, State: "serving"}}}
 }
 
 func (f *fakeReplica) Apply(_ context.Context, document []byte) (int, operator.Result) {
@@ -162,3 +164,15 @@
 	w := post(f.handler(""), "/console/edit", nil, "action", "stop", "service", "rounds", "endpoint", "<script>x</script>", "draft", f.draft(t))
 	assert.Assert(t, !strings.Contains(w.Body.String(), "<script>"))
 }
+
+// TestPageShowsEvacuations guards against an evacuation that nobody remembers to finish.
+func TestPageShowsEvacuations(t *testing.T) {
+	f := newFakeReplica()
+	for _, evacuated := range [][]string{nil, {"dc-1", "dc-2"}} {
+		f.evacuated = evacuated
+		w := httptest.NewRecorder()
+		f.handler("").ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/console", nil))
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, strings.Contains(w.Body.String(), "dc-1, dc-2"), evacuated != nil)
+	}
+}
--- a/control/counter/counter.go
+++ b/control/counter/counter.go
@@ -22,7 +22,7 @@
 			Name: "comfreyplank_events_total", Help: "Events of the time line, by kind.",
 		}, []string{"event"}),
 		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "comfreyplank_control_request_seconds", Help: "Time to answer changes, reads and announcements.",
+			Name: "comfreyplank_control_request_seconds", Help: "Time to answer changes, reads, evacuations and announcements.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"request"}),
 	}
@@ -43,6 +43,14 @@
 	)
 }
 
+// ObserveEvacuations registers a metric of the evacuated data centres that the replica knows. The function returns their
+// number.
+func ObserveEvacuations(registry prometheus.Registerer, observe func() int) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "comfreyplank_evacuated_data_centres", Help: "Data centres whose endpoints get no requests, by the order of an operator.",
+	}, func() float64 { return float64(observe()) }))
+}
+
 // Event counts an event of the given kind.
 func (c *Counter) Event(kind recorder.Kind) { c.events.WithLabelValues(string(kind)).Inc() }
 
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -53,6 +53,7 @@
 	lastConn         controller.Conn
 	pendingApplies   map[uint64]chan controller.ApplyReply
 	pendingReads     map[uint64]chan controller.DocumentReply
+	pendingOrders    map[uint64]chan controller.EvacuateReply
 	pendingAnnounces map[uint64]chan controller.AnnounceReply
 	lastRequest      uint64
 }
@@ -130,6 +131,7 @@
 		streams:          make(map[controller.Conn]*Stream),
 		pendingApplies:   make(map[uint64]chan controller.ApplyReply),
 		pendingReads:     make(map[uint64]chan controller.DocumentReply),
+		pendingOrders:    make(map[uint64]chan controller.EvacuateReply),
 		pendingAnnounces: make(map[uint64]chan controller.AnnounceReply),
 	}
 	state, id, err := d.open()
@@ -267,6 +269,9 @@
 		case controller.ApplyReply:
 			d.pendingApplies[v.Request] <- v
 			delete(d.pendingApplies, v.Request)
+		case controller.EvacuateReply:
+			d.pendingOrders[v.Request] <- v
+			delete(d.pendingOrders, v.Request)
 		case controller.DocumentReply:
 			d.pendingReads[v.Request] <- v
 			delete(d.pendingReads, v.Request)
@@ -450,6 +455,15 @@
 	})
 }
 
+// Evacuate begins or finishes the evacuation of a data centre and waits for its outcome. It sets the Request field of the
+// order.
+func (d *Driver) Evacuate(ctx context.Context, order controller.Evacuate) (controller.EvacuateReply, error) {
+	return submit(ctx, d, "evacuate", d.pendingOrders, func(number uint64) controller.Input {
+		order.Request = number
+		return order
+	})
+}
+
 // ReadDocument returns the current configuration. The reply states whether a quorum confirmed it.
 func (d *Driver) ReadDocument(ctx context.Context) (controller.DocumentReply, error) {
 	return submit(ctx, d, "read", d.pendingReads, func(number uint64) controller.Input {
@@ -484,6 +498,13 @@
 	return d.stateMachine.LimitTotals()
 }
 
+// EvacuatedCount returns the number of evacuated data centres, as far as the replica knows.
+func (d *Driver) EvacuatedCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stateMachine.EvacuatedCount()
+}
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (d *Driver) Document() (uint64, validator.Document) {
 	d.mu.Lock()
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator implements the operators' HTTP interface, which ctl uses: the configuration
-// document, the status, the event timeline and the metrics.
+// document, evacuations, the status, the event timeline and the metrics.
 package operator
 
 import (
@@ -44,6 +44,8 @@
 	r.Get("/comfreyplank/v1/document", o.document)
 	r.Post("/comfreyplank/v1/validate", o.validate)
 	r.Post("/comfreyplank/v1/document", o.apply)
+	r.Put("/comfreyplank/v1/evacuations/{data-centre}", o.evacuate(true))
+	r.Delete("/comfreyplank/v1/evacuations/{data-centre}", o.evacuate(false))
 	r.Handle("/metrics", promhttp.Handler())
 	reporter.RegisterProfiles(r)
 }
@@ -117,9 +119,17 @@
 	reporter.JSON(w, http.StatusOK, Result{Status: "valid", Detail: "the document is valid"})
 }
 
-func (o *Operator) apply(w http.ResponseWriter, r *http.Request) {
+// authorized reports whether a request carries the operator key. Otherwise it responds with an error.
+func (o *Operator) authorized(w http.ResponseWriter, r *http.Request) bool {
 	if o.key != "" && r.Header.Get("Authorization") != "Bearer "+o.key {
 		reporter.Problem{Status: http.StatusForbidden, Detail: "the operator key is wrong"}.Write(w, reporter.OutcomeNotRun)
+		return false
+	}
+	return true
+}
+
+func (o *Operator) apply(w http.ResponseWriter, r *http.Request) {
+	if !o.authorized(w, r) {
 		return
 	}
 	data, ok := readDocument(w, r)
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -84,6 +84,33 @@
 	return last, err
 }
 
+// Evacuate begins or finishes the evacuation of a data centre. It sends the order to the replicas in turn, until one
+// confirms it; sending it again changes nothing. A replica may not know the data centre yet that another one knows.
+func (c *Client) Evacuate(ctx context.Context, dataCentre string, active bool) (Result, error) {
+	method := http.MethodDelete
+	if active {
+		method = http.MethodPut
+	}
+	last := Result{}
+	err := ErrNoReplica
+	for _, address := range c.addresses {
+		var result Result
+		status, sendErr := c.send(ctx, requestTimeout, method, address, "/comfreyplank/v1/evacuations/"+url.PathEscape(dataCentre), nil, &result)
+		if sendErr != nil {
+			if err != nil {
+				err = sendErr
+			}
+			continue
+		}
+		last = result
+		err = nil
+		if status == http.StatusOK {
+			break
+		}
+	}
+	return last, err
+}
+
 // Read returns the current configuration from the first replica that has it confirmed by a
 // quorum.
 func (c *Client) Read(ctx context.Context) (Document, error) {
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -31,6 +31,7 @@
 		{"status", "Show replicas, entries and endpoints", "Shows what every replica that answers knows.", &statusCommand{env: env}},
 		{"timeline", "Show events of all processes", "Merges the events of all replicas and entries.", &timelineCommand{env: env}},
 		{"drain", "Take an endpoint out of service", "Adds a stop to the document: the endpoint gets no new work, and what is in flight ends.", &drainCommand{env: env}},
+		{"evacuate", "Send no requests to a data centre", "Begins the evacuation of a data centre: its endpoints get no new work, and what is in flight there ends. It lasts until --finish, whatever documents are applied.", &evacuateCommand{env: env}},
 		{"reference", "Print the document's reference", "Prints the reference page of the document.", &referenceCommand{}},
 		{"admit", "Take a stopped endpoint back", "Removes the endpoint's stop from the document.", &admitCommand{env: env}},
 	}
@@ -220,6 +221,24 @@
 	})
 }
 
+type evacuateCommand struct {
+	env    *environment
+	Finish bool `long:"finish" description:"finish the evacuation"`
+	Args   struct {
+		DataCentre string `positional-arg-name:"DATA-CENTRE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *evacuateCommand) Execute([]string) error {
+	result, err := c.env.client().Evacuate(c.env.ctx, c.Args.DataCentre, !c.Finish)
+	if err != nil {
+		return err
+	}
+	c.env.showResult(result)
+	return resultError(result)
+}
+
 // edit reads the current document, changes it and applies the new one.
 func (e *environment) edit(change func(validator.Document) validator.Document) error {
 	current, err := e.client().Read(e.ctx)
--- a/ctl/output.go
+++ b/ctl/output.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -45,6 +47,7 @@
 	for _, s := range statuses {
 		row("%s\t%s\t%d\t%s\t%d\t%d\t%d\t%t", s.Replica, s.Role, s.Term, s.Leader, s.Revision, s.InForce, s.Claims, s.InContactWithQuorum)
 	}
+	showEvacuations(row, statuses)
 	row("\nENTRY\tDATA CENTRE\tREVISION\tSTANDING\tREPLICA")
 	for _, s := range statuses {
 		for _, e := range s.Entries {
@@ -59,6 +62,18 @@
 	_ = t.Flush() // standard output may be closed
 }
 
+// showEvacuations prints the evacuated data centres, as the replica with the latest revision knows them, if there are any.
+func showEvacuations(row func(format string, args ...any), statuses []controller.Status) {
+	latest := slices.MaxFunc(statuses, func(a, b controller.Status) int { return cmp.Compare(a.Revision, b.Revision) })
+	if len(latest.Evacuated) == 0 {
+		return
+	}
+	row("\nEVACUATED DATA CENTRE")
+	for _, name := range latest.Evacuated {
+		row("%s", name)
+	}
+}
+
 // showLimits prints the limits that the leader knows, if there are any.
 func showLimits(row func(format string, args ...any), statuses []controller.Status) {
 	for _, s := range statuses {
