--- a/entry/keeper/connection.go
+++ b/entry/keeper/connection.go
@@ -66,6 +66,9 @@
 	return c.abandoned
 }
 
+// NetConn returns the connection that the listener has accepted.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. An abandoned connection looks closed by the caller.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.isAbandoned() {
