Add pipelining as an option of an entry

Cause: entries could not use entry/pipeliner. Change: runner.WithPipelining, off by default. The dispatcher says which requests may run ahead by their routes. A planned stop starts nothing ahead, counts what waits as in flight, and shuts the HTTP server down only when nothing waits: from then on that closes each connection after its next response. A metric counts requests that ran ahead and results that were thrown away. Without it nothing changes.

--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -22,6 +22,7 @@
 	statements   *prometheus.CounterVec
 	permits      *prometheus.CounterVec
 	limitedCalls *prometheus.CounterVec
+	pipelined    *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
 }
 
@@ -52,12 +53,15 @@
 		limitedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_limited_calls_total", Help: "Calls that lacked a permit, by service and whether they passed an endpoint over, waited, or were refused.",
 		}, []string{"service", "result"}),
+		pipelined: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_pipelined_requests_total", Help: "Pipelined requests that ran ahead of their turn, and those of them whose results were thrown away.",
+		}, []string{"event"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.pipelined, c.calls)
 	return c
 }
 
@@ -96,6 +100,12 @@
 	c.limitedCalls.WithLabelValues(service, "refused").Add(float64(added.Refused))
 }
 
+// RanAhead counts a pipelined request that was started before its turn.
+func (c *Counter) RanAhead() { c.pipelined.WithLabelValues("ran-ahead").Inc() }
+
+// DiscardedAhead counts a pipelined request that was started before its turn and whose result was thrown away.
+func (c *Counter) DiscardedAhead() { c.pipelined.WithLabelValues("discarded").Inc() }
+
 // Refused counts a call that got no response from an endpoint.
 func (c *Counter) Refused(service string, outcome balancer.Outcome) {
 	name := "not-run"
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -185,6 +186,17 @@
 	d.handler.ServeHTTP(w, r)
 }
 
+// MayRunAhead reports whether a request without a body may run concurrently with others of its connection: only if
+// its route is repeatable, so that it doesn't matter whether it runs if one before it ends the connection.
+func (d *Dispatcher) MayRunAhead(method, host, path string) bool {
+	config := d.activeConfig.Load()
+	if config == nil {
+		return false
+	}
+	match, ok := config.router.Match(host, cmp.Or(path, "/"))
+	return ok && match.Execution(method) == router.Repeatable
+}
+
 func (d *Dispatcher) serveRequest(w http.ResponseWriter, r *http.Request) {
 	parsed, err := d.deps.Callers.ParseRequest(r.Header)
 	if parsed.ID == "" {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -22,6 +22,7 @@
 	"comfreyplank.org/entry/dispatcher"
 	"comfreyplank.org/entry/follower"
 	"comfreyplank.org/entry/keeper"
+	"comfreyplank.org/entry/pipeliner"
 	"comfreyplank.org/entry/receiver"
 	"comfreyplank.org/entry/server"
 	"comfreyplank.org/shell/completer"
@@ -94,6 +95,9 @@
 	return func(r *Runner) { r.timelineCapacity = timelineCapacity }
 }
 
+// WithPipelining runs requests concurrently that callers pipeline on one connection, where they may be repeated.
+func WithPipelining() Option { return func(r *Runner) { r.pipelining = true } }
+
 // WithNarrator logs the entry's decisions.
 func WithNarrator(n *narrator.Narrator) Option { return func(r *Runner) { r.narrator = n } }
 
@@ -118,9 +122,12 @@
 	server           *server.Server
 	// keeper keeps callers' connections open while requests on them are served.
 	keeper *keeper.Keeper
-	group  sync.WaitGroup
-	ctx    context.Context //nolint:containedctx // ends with the process
-	cancel context.CancelFunc
+	// pipeliner starts pipelined requests ahead; nil without pipelining.
+	pipelining bool
+	pipeliner  *pipeliner.Pipeliner
+	group      sync.WaitGroup
+	ctx        context.Context //nolint:containedctx // ends with the process
+	cancel     context.CancelFunc
 }
 
 // New returns an entry that is not running yet.
@@ -136,6 +143,7 @@
 	}
 	r.publisher = publisher.New(s.Name, r.timelineCapacity)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	metrics := counter.New(prometheus.DefaultRegisterer)
 	deps := dispatcher.Dependencies{
 		Now:     time.Now,
 		Start:   r.group.Go,
@@ -144,11 +152,14 @@
 		RequestPermits: func(service string, wanted balancer.RequestPermits) {
 			r.follower.RequestPermits(service, wanted)
 		},
-		Counter: counter.New(prometheus.DefaultRegisterer),
+		Counter: metrics,
 	}
 	r.configure(&deps)
 	r.dispatcher = dispatcher.New(s.Name+"/"+uuid.NewString(), deps)
 	r.keeper = keeper.New(r.dispatcher.Timeouts)
+	if r.pipelining {
+		r.pipeliner = pipeliner.New(r.group.Go, r.dispatcher.MayRunAhead, pipeliner.WithCounter(metrics))
+	}
 	hello := messenger.Hello{Entry: s.Name, DataCentre: s.DataCentre, Admin: s.Admin}
 	followerOptions := append([]follower.Option{follower.WithPublish(r.publish)}, r.followerOptions...)
 	r.follower = follower.New(r.ctx, &r.group, hello, s.Control, r.dispatcher, r.publisher, followerOptions...)
@@ -173,8 +184,7 @@
 
 // Run serves until the stop context ends and everything in flight has ended.
 func (r *Runner) Run(stop context.Context) error {
-	public := newServer(r.keeper.Handler(receiver.Handler(r.public(r.server, r.dispatcher))))
-	r.keeper.Configure(public)
+	public, keepOpen := r.publicServer()
 	admin := newServer(r.server.Admin(r.publisher))
 	publicListener, err := net.Listen("tcp", r.settings.Listen)
 	if err != nil {
@@ -194,7 +204,7 @@
 		r.group.Go(func() { r.narrator.Run(r.ctx) })
 	}
 	r.group.Go(func() { logError("timeline", r.publisher.Run(r.ctx)) })
-	r.group.Go(func() { logError("public server", public.Serve(r.keeper.Listener(publicListener))) })
+	r.group.Go(func() { logError("public server", public.Serve(keepOpen(publicListener))) })
 	r.group.Go(func() { logError("administration server", admin.Serve(adminListener)) })
 	r.publish(recorder.Event{Kind: recorder.KindStarted})
 	slog.Info("serving", "listen", r.settings.Listen, "admin", r.settings.Admin)
@@ -211,6 +221,20 @@
 	return nil
 }
 
+// publicServer returns the server for callers, and what its listener is wrapped in.
+func (r *Runner) publicServer() (*http.Server, func(net.Listener) net.Listener) {
+	h := receiver.Handler(r.public(r.server, r.dispatcher))
+	if r.pipeliner == nil {
+		s := newServer(r.keeper.Handler(h))
+		r.keeper.Configure(s)
+		return s, r.keeper.Listener
+	}
+	s := newServer(r.keeper.Handler(r.pipeliner.Handler(h)))
+	r.keeper.Configure(s)
+	r.pipeliner.Configure(s)
+	return s, func(l net.Listener) net.Listener { return r.keeper.Listener(r.pipeliner.Listener(l)) }
+}
+
 // serveExtra serves the addresses set by WithListener.
 func (r *Runner) serveExtra() ([]*http.Server, error) {
 	servers := make([]*http.Server, 0, len(r.extraListeners))
@@ -239,7 +263,17 @@
 
 // inFlight returns how many calls, attempts and requests a planned stop waits for, in the
 // balancers and on callers' connections.
-func (r *Runner) inFlight() int { return r.dispatcher.InFlight() + r.keeper.Serving() }
+func (r *Runner) inFlight() int {
+	return r.dispatcher.InFlight() + r.keeper.Serving() + r.waitingAhead()
+}
+
+// waitingAhead returns how many pipelined requests were started ahead and wait for their turn.
+func (r *Runner) waitingAhead() int {
+	if r.pipeliner == nil {
+		return 0
+	}
+	return r.pipeliner.Waiting()
+}
 
 // awaitPhase advances a planned stop until it reaches the given phase.
 func (r *Runner) awaitPhase(d drainer.Drainer, phase drainer.Phase) drainer.Drainer {
@@ -263,6 +297,9 @@
 	slog.Info("stopping", "notice", r.settings.ShutdownNotice)
 	r.publish(recorder.Event{Kind: recorder.KindShutdown, Detail: "readiness fails, still serving"})
 	r.server.Stop()
+	if r.pipeliner != nil {
+		r.pipeliner.Stop()
+	}
 	d := r.newDrainer().WithStop(time.Now())
 	r.dispatcher.Stop(d)
 	d = r.awaitPhase(d, drainer.PhaseAwaitingIdle)
@@ -270,6 +307,10 @@
 	d = r.awaitPhase(d, drainer.PhaseFinishing)
 	ctx, cancel := context.WithDeadline(context.Background(), d.End())
 	defer cancel()
+	// From the shutdown on the server closes each connection after its next response, so no request may wait behind it.
+	for r.waitingAhead() > 0 && ctx.Err() == nil {
+		time.Sleep(drainInterval)
+	}
 	if err := public.Shutdown(ctx); err != nil && r.inFlight() > 0 { // connections without a request don't count
 		return errors.Wrap(err, "requests still in flight when the grace time ended")
 	}
