Take the end of a connection for the end of a body only after the whole request

Cause: an endpoint responds to a long upload without a length, sends a part and resets the connection while the upload is still written. Linux reports a reset once. If the goroutine that sends the upload got the error, the reader saw a normal end of the stream, and the part reached the caller as a complete response. Change: a body without a length that is read while the request is sent is complete only if the whole request had been sent without an error before the end. Otherwise the attempt is lost, or the caller's connection cut off if the response has begun. If only the result of the last write is missing, it is waited for. Early responses with a length, in chunks or without a body are delivered as before.

--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -161,6 +161,8 @@
 // sending is the forwarding of a request whose body is streamed. It may go on after the response has
 // begun.
 type sending struct {
+	// body is the part of the request's body that is streamed.
+	body *receiver.Transfer
 	// done is closed once nothing more is sent.
 	done chan struct{}
 	// err is why not the whole request was sent; it may be read once done is closed.
@@ -194,7 +196,7 @@
 // startSending sends a request with a streamed body. If the body breaks off, the sending side of the
 // connection is closed, so that the endpoint can't take the request for complete.
 func (c *connection) startSending(request outgoing, rest *receiver.Transfer) *sending {
-	s := &sending{done: make(chan struct{})}
+	s := &sending{body: rest, done: make(chan struct{})}
 	c.group.Go(func() {
 		defer close(s.done)
 		s.err = c.send(request)
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -250,6 +250,9 @@
 		HTTP: response, Informational: informational, Report: f.protocol.Report(request.Header, response),
 		pool: p, connection: c, sending: sending, stopInterrupt: stopInterrupt,
 	}
+	if sending != nil && endsWithConnection(response) {
+		response.Body = &unframedBody{response.Body, sending}
+	}
 	response.Body = f.inbound.Body(ctx, response.Body)
 	answer.Prefix, answer.Complete, err = readAhead(response.Body, response.ContentLength)
 	if err != nil {
--- a/entry/receiver/body.go
+++ b/entry/receiver/body.go
@@ -105,6 +105,14 @@
 	return err
 }
 
+// Whole reports whether the whole body has been read.
+func (t *Transfer) Whole() bool {
+	b := t.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return errors.Is(b.err, io.EOF) || (b.err == nil && b.size >= 0 && b.received >= b.size)
+}
+
 func (b *Body) readAs(reader *Transfer, p []byte) (int, error) {
 	b.turn.Lock()
 	defer b.turn.Unlock()
