Refuse malformed responses of endpoints

Cause: malformed responses were passed on to callers, and their connections were used again. Change: connections to endpoints read through inspector.Reader, for responses and for probes. An attempt or probe whose response breaks a rule is lost, and its connection is closed. After the head has been delivered, the caller's connection is cut off. The event response-malformed names the endpoint, the request and the rule; comfreyplank_malformed_responses_total counts. An endpoint can no longer switch protocols: entries never ask for that.

--- a/core/recorder/event.go
+++ b/core/recorder/event.go
@@ -28,6 +28,7 @@
 	KindCallRefused          Kind = "call-refused"
 	KindCallUnknown          Kind = "call-unknown"
 	KindBodyCut              Kind = "request-body-cut"
+	KindResponseMalformed    Kind = "response-malformed"
 	KindConfigLeaseChanged   Kind = "standing-changed"
 	KindConfigApplied        Kind = "configuration-taken-up"
 	KindConfigAccepted       Kind = "configuration-accepted"
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -22,6 +22,7 @@
 	statements   *prometheus.CounterVec
 	permits      *prometheus.CounterVec
 	limitedCalls *prometheus.CounterVec
+	malformed    *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
 }
 
@@ -52,12 +53,15 @@
 		limitedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_limited_calls_total", Help: "Calls that lacked a permit, by service and whether they passed an endpoint over, waited, or were refused.",
 		}, []string{"service", "result"}),
+		malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_malformed_responses_total", Help: "Responses of endpoints that were refused as malformed, by service.",
+		}, []string{"service"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.malformed, c.calls)
 	return c
 }
 
@@ -87,6 +91,9 @@
 	c.statements.WithLabelValues(service, statement).Inc()
 }
 
+// Malformed counts a response that was refused as malformed.
+func (c *Counter) Malformed(service string) { c.malformed.WithLabelValues(service).Inc() }
+
 // LimitCounts adds what the limits of endpoints have caused.
 func (c *Counter) LimitCounts(service string, added balancer.LimitCounts) {
 	c.permits.WithLabelValues(service, "granted").Add(float64(added.Granted))
--- a/entry/dispatcher/answer.go
+++ b/entry/dispatcher/answer.go
@@ -163,6 +163,9 @@
 	// An endpoint that pauses would otherwise be held until it sends more.
 	stop := context.AfterFunc(r.Context(), t.cancel)
 	t.ending = copyBody(w, s.deps.Outbound.Writer(r.Context(), w), t.response)
+	if t.ending == balancer.EndingLost {
+		s.forwarder.ReportMalformed(t.response)
+	}
 	if !stop() {
 		t.ending = balancer.EndingCancelled
 	}
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -38,6 +38,8 @@
 
 func (noCounter) Statement(string, string) {}
 
+func (noCounter) Malformed(string) {}
+
 func (noCounter) LimitCounts(string, balancer.LimitCounts) {}
 
 // fixture is a dispatcher with real connections to test endpoints, and a claims log in memory.
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -68,6 +68,7 @@
 	LimitStatement(service string, kind throttler.StatementKind)
 	LimitCounts(service string, added balancer.LimitCounts)
 	Statement(service, statement string)
+	Malformed(service string)
 }
 
 // callResult is the result of a call: a response, a stored response or a refusal.
@@ -122,16 +123,22 @@
 	s := &serviceDispatcher{
 		service:      service.Name,
 		deps:         deps,
-		forwarder:    forwarder.New(deps.Now, deps.Endpoints, deps.Inbound),
 		stateMachine: balancer.New(incarnation, service, deps.BalancerOptions()...),
 		calls:        make(map[balancer.CallID]*pendingCall),
 		attempts:     make(map[balancer.AttemptID]*attempt),
 		addresses:    make(map[string]string),
 	}
+	s.forwarder = forwarder.New(deps.Now, deps.Endpoints, deps.Inbound, forwarder.WithMalformed(s.recordMalformed))
 	s.waker = waker.New(deps.Now, s.wake)
 	return s
 }
 
+// recordMalformed counts and records a response of an endpoint that broke a rule of the protocol.
+func (s *serviceDispatcher) recordMalformed(m forwarder.Malformed) {
+	s.deps.Counter.Malformed(s.service)
+	s.deps.Publish(recorder.Event{Kind: recorder.KindResponseMalformed, Service: s.service, Endpoint: m.Endpoint, Request: m.Request, Detail: m.Rule.Error()})
+}
+
 // wake sends the balancer a tick when it is due.
 func (s *serviceDispatcher) wake() {
 	s.mu.Lock()
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"comfreyplank.org/entry/inspector"
 	"comfreyplank.org/entry/receiver"
 )
 
@@ -44,6 +45,8 @@
 	conn net.Conn
 	// reader is set while the connection is in use.
 	reader *bufio.Reader
+	// inspector checks the responses that reader reads; it holds nothing while reader is nil.
+	inspector inspector.Reader
 	// written counts the bytes handed to the operating system: bytes that are not counted were
 	// not sent.
 	written atomic.Int64
@@ -82,7 +85,8 @@
 	if !ok {
 		reader = bufio.NewReaderSize(nil, bufferBytes)
 	}
-	reader.Reset(limitedReader{c})
+	c.inspector.Reset(limitedReader{c})
+	reader.Reset(&c.inspector)
 	c.reader = reader
 }
 
@@ -95,6 +99,7 @@
 	c.reader.Reset(nil)
 	readerPool.Put(c.reader)
 	c.reader = nil
+	c.inspector.Release()
 	return true
 }
 
@@ -230,6 +235,7 @@
 // receive reads the head of a response, and any informational responses before it.
 func (c *connection) receive(request *http.Request) (*http.Response, []Informational, error) {
 	var informational []Informational
+	c.inspector.Begin(request.Method)
 	for {
 		c.headerBudget = maxHeaderBytes
 		response, err := http.ReadResponse(c.reader, request)
@@ -237,7 +243,7 @@
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read response")
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, informational, nil
 		}
 		if len(informational) >= maxInformational {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/core/balancer"
+	"comfreyplank.org/entry/inspector"
 	"comfreyplank.org/entry/pacer"
 	"comfreyplank.org/entry/receiver"
 	"comfreyplank.org/entry/translator"
@@ -38,6 +39,8 @@
 
 	pool       *pool
 	connection *connection
+	// endpoint and request name the attempt.
+	endpoint, request string
 	// sending is the forwarding of a streamed request body; nil if the request was sent before
 	// the response was read.
 	sending *sending
@@ -54,6 +57,8 @@
 
 // Request is what an attempt sends. Each attempt sends Body from its start.
 type Request struct {
+	// ID identifies the request in reports of malformed responses.
+	ID     string
 	Method string
 	// Target is the request target, which endpoints get byte for byte.
 	Target string
@@ -71,6 +76,8 @@
 	protocol translator.Endpoints
 	// inbound paces the bodies of responses.
 	inbound pacer.Pacer
+	// reportMalformed is called for each response that breaks a rule.
+	reportMalformed func(Malformed)
 
 	// group holds the goroutines that send long bodies.
 	group sync.WaitGroup
@@ -83,9 +90,29 @@
 	closed        bool
 }
 
+// Malformed is a response that broke a rule of the protocol. Its attempt or probe is lost.
+type Malformed struct {
+	Endpoint string
+	// Request is the ID of the request; empty for a probe.
+	Request string
+	// Rule is the rule that was broken.
+	Rule *inspector.Violation
+}
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithMalformed has a function called for each malformed response.
+func WithMalformed(report func(Malformed)) Option {
+	return func(f *Forwarder) { f.reportMalformed = report }
+}
+
 // New returns a forwarder without connections.
-func New(now func() time.Time, protocol translator.Endpoints, inbound pacer.Pacer) *Forwarder {
-	f := &Forwarder{now: now, protocol: protocol, inbound: inbound, pools: make(map[string]*pool)}
+func New(now func() time.Time, protocol translator.Endpoints, inbound pacer.Pacer, options ...Option) *Forwarder {
+	f := &Forwarder{now: now, protocol: protocol, inbound: inbound, reportMalformed: func(Malformed) {}, pools: make(map[string]*pool)}
+	for _, option := range options {
+		option(f)
+	}
 	f.trimmer = time.AfterFunc(trimInterval, f.trim)
 	f.trimmer.Stop()
 	return f
@@ -167,8 +194,10 @@
 		before := c.written.Load()
 		answer, err := f.sendOn(ctx, p, c, d, r)
 		if err == nil {
+			answer.endpoint, answer.request = d.Endpoint, r.ID
 			return f.classify(answer.HTTP.Request.Header, answer)
 		}
+		f.reportViolation(c, d.Endpoint, r.ID)
 		p.discard(c) // first, as a streamed body may be written until then
 		sent := c.written.Load() != before
 		if sent || !reused || r.Stream != nil || ctx.Err() != nil {
@@ -273,6 +302,18 @@
 	return buffer.Bytes(), n <= MaxBufferedBytes, nil
 }
 
+// ReportMalformed reports a response whose body broke a rule after its head was delivered. It must not be called while
+// the body is read.
+func (f *Forwarder) ReportMalformed(a *Response) {
+	f.reportViolation(a.connection, a.endpoint, a.request)
+}
+
+func (f *Forwarder) reportViolation(c *connection, endpoint, request string) {
+	if violation := c.inspector.Violation(); violation != nil {
+		f.reportMalformed(Malformed{Endpoint: endpoint, Request: request, Rule: violation})
+	}
+}
+
 // Sending returns a channel that is closed once nothing more of the request is sent. It returns nil
 // if the request was sent before its response.
 func (a *Response) Sending() <-chan struct{} {
@@ -336,6 +377,7 @@
 	}
 	answer, err := f.exchange(ctx, p, c, outgoing{request, request.URL.RequestURI()}, nil)
 	if err != nil {
+		f.reportViolation(c, v.Endpoint, "")
 		p.discard(c)
 		return balancer.NoReport, balancer.EndingLost
 	}
