Count a response without a length as broken in the bench

Measurements of claims counted any body that came to an end. Effect: a cut response is counted as broken. ctl is unchanged.

--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -17,6 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 )
 
 // Plan holds the parameters of a load.
@@ -168,13 +169,26 @@
 		return OutcomeBroken
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := ReadBody(response)
 	if err != nil {
 		return OutcomeBroken
 	}
 	return classify(response, string(text), mark, body)
 }
 
+// errUnframed is returned for a response whose end can't be told from that of its connection.
+var errUnframed = errors.New("the response has neither a length nor chunks")
+
+// ReadBody reads the whole body of a response. Where only the end of the connection ends it, a part can't be told from
+// the whole: a reset may look like a normal end if the request is still sent.
+func ReadBody(response *http.Response) ([]byte, error) {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, errUnframed
+	}
+	text, err := io.ReadAll(response.Body)
+	return text, errors.Wrap(err, "read response")
+}
+
 // classify returns the outcome of a call. A successful response must be complete and echo the
 // mark and body of the call.
 func classify(response *http.Response, text, mark, body string) Outcome {
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"comfreyplank.org/bench/loader"
 	"comfreyplank.org/bench/stager"
 )
 
@@ -327,7 +327,7 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
+	_, err = loader.ReadBody(response)
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
