--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -24,6 +24,7 @@
 	limitedCalls *prometheus.CounterVec
 	keyRefusals  *prometheus.CounterVec
 	pipelined    *prometheus.CounterVec
+	malformed    *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
 }
 
@@ -60,12 +61,15 @@
 		pipelined: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_pipelined_requests_total", Help: "Pipelined requests that ran ahead of their turn, and those of them whose results were thrown away.",
 		}, []string{"event"}),
+		malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_malformed_responses_total", Help: "Responses of endpoints that were refused as malformed, by service.",
+		}, []string{"service"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.keyRefusals, c.pipelined, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.keyRefusals, c.pipelined, c.malformed, c.calls)
 	return c
 }
 
@@ -98,6 +102,9 @@
 // KeyRefused counts a request that was refused because of its key or of the entry's lease.
 func (c *Counter) KeyRefused(reason string) { c.keyRefusals.WithLabelValues(reason).Inc() }
 
+// Malformed counts a response that was refused as malformed.
+func (c *Counter) Malformed(service string) { c.malformed.WithLabelValues(service).Inc() }
+
 // LimitCounts adds what the limits of endpoints have caused.
 func (c *Counter) LimitCounts(service string, added balancer.LimitCounts) {
 	c.permits.WithLabelValues(service, "granted").Add(float64(added.Granted))
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -39,6 +39,7 @@
 func (noCounter) Statement(string, string) {}
 
 func (noCounter) KeyRefused(string) {}
+func (noCounter) Malformed(string)  {}
 
 func (noCounter) LimitCounts(string, balancer.LimitCounts) {}
 
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"comfreyplank.org/entry/inspector"
 	"comfreyplank.org/entry/receiver"
 )
 
@@ -44,6 +45,8 @@
 	conn net.Conn
 	// reader is set while the connection is in use.
 	reader *bufio.Reader
+	// inspector checks the responses that reader reads; it holds nothing while reader is nil.
+	inspector inspector.Reader
 	// written counts the bytes handed to the operating system: bytes that are not counted were
 	// not sent.
 	written atomic.Int64
@@ -82,7 +85,8 @@
 	if !ok {
 		reader = bufio.NewReaderSize(nil, bufferBytes)
 	}
-	reader.Reset(limitedReader{c})
+	c.inspector.Reset(limitedReader{c})
+	reader.Reset(&c.inspector)
 	c.reader = reader
 }
 
@@ -95,6 +99,7 @@
 	c.reader.Reset(nil)
 	readerPool.Put(c.reader)
 	c.reader = nil
+	c.inspector.Release()
 	return true
 }
 
@@ -161,6 +166,8 @@
 // sending is the forwarding of a request whose body is streamed. It may go on after the response has
 // begun.
 type sending struct {
+	// body is the part of the request's body that is streamed.
+	body *receiver.Transfer
 	// done is closed once nothing more is sent.
 	done chan struct{}
 	// err is why not the whole request was sent; it may be read once done is closed.
@@ -194,7 +201,7 @@
 // startSending sends a request with a streamed body. If the body breaks off, the sending side of the
 // connection is closed, so that the endpoint can't take the request for complete.
 func (c *connection) startSending(request outgoing, rest *receiver.Transfer) *sending {
-	s := &sending{done: make(chan struct{})}
+	s := &sending{body: rest, done: make(chan struct{})}
 	c.group.Go(func() {
 		defer close(s.done)
 		s.err = c.send(request)
@@ -228,6 +235,7 @@
 // receive reads the head of a response, and any informational responses before it.
 func (c *connection) receive(request *http.Request) (*http.Response, []Informational, error) {
 	var informational []Informational
+	c.inspector.Begin(request.Method)
 	for {
 		c.headerBudget = maxHeaderBytes
 		response, err := http.ReadResponse(c.reader, request)
@@ -235,7 +243,7 @@
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read response")
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, informational, nil
 		}
 		if len(informational) >= maxInformational {
