Add the leader's and the entries' parts of rate limits, and the channel between them

Workspaces may have a rate limit over all entries, but no part counted their calls. Entries now count them, replicas add the counts up for the leader, and the leader sends shares of the workspaces that are at their limits. Sums and sequences make up for lost and repeated messages.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -123,6 +123,7 @@
 	changedLimits    []permitter.EndpointLimit
 	nextLimitUpdate  time.Time
 	nextLimitRefresh time.Time
+	admission        admission
 	// lastTick is the time of the last Tick.
 	lastTick time.Time
 	// nextStore is the earliest time at which the endpoints may be stored again. storedDigest is
@@ -200,6 +201,7 @@
 		shares:           make(map[string]heldShare),
 		entryAllotters:   make(map[string]*allotter.Allotter),
 		permits:          permitter.New(),
+		admission:        newAdmission(now),
 		lastClockAdvance: now,
 		nextPresence:     now,
 		nextShareRequest: now,
@@ -349,6 +351,7 @@
 	c.requestShares(now)
 	c.refreshLimits(now)
 	c.sendLimitsIfDue(now)
+	c.updateAdmission(now)
 	c.updateRevisionInEffect(now)
 	c.replyToApplies(now)
 	c.replyToDepartures(now)
--- a/core/controller/due.go
+++ b/core/controller/due.go
@@ -16,7 +16,7 @@
 func (c *Controller) Due() time.Time {
 	due := scheduler.Earliest(
 		c.config.replica.Due(), c.claims.replica.Due(),
-		c.nextPresence, c.nextShareRequest, c.nextStore, c.nextEntryExpiry, c.nextClaimDeadline(), c.entryUpdateAt, c.limitsDue(),
+		c.nextPresence, c.nextShareRequest, c.nextStore, c.nextEntryExpiry, c.nextClaimDeadline(), c.entryUpdateAt, c.limitsDue(), c.admissionDue(),
 	)
 	if c.pushPending {
 		due = scheduler.Earliest(due, c.nextPush)
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -140,6 +140,10 @@
 		c.onRelayedPermitReply(v)
 	case messenger.LimitUpdate:
 		c.onLimitUpdate(now, v)
+	case messenger.RelayedUsage:
+		c.onRelayedUsage(now, v)
+	case messenger.AdmissionUpdate:
+		c.onAdmissionUpdate(now, v)
 	}
 }
 
--- /dev/null
+++ b/core/controller/ratelimit_test.go
@@ -0,0 +1,370 @@
+package controller_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyplank.org/core/admitter"
+	"comfreyplank.org/core/validator"
+)
+
+// The bound of the requirements: in no quotaWindow may a workspace have more calls admitted than its rate and its burst
+// allow, a tenth and 20 more.
+const (
+	quotaWindow    = 5 * time.Second
+	quotaOvershoot = 0.1
+	quotaSlack     = 20
+	// workspaceCount and workspaceSkew describe the workspaces, limitHeadroom their limits as multiples of their usual
+	// rates.
+	workspaceCount = 86
+	workspaceSkew  = 1.2
+	limitHeadroom  = 1.6
+	callsPerEntry  = 925.0 / 140
+)
+
+// usageMessages counts the messages for rate limits: the reports and heartbeats of entries, the relayed reports of
+// replicas, and the updates to entries.
+type usageMessages struct {
+	reports, relays, updates, heartbeats int
+}
+
+// limitedWorkspace is a workspace whose callers send at random times.
+type limitedWorkspace struct {
+	name string
+	// usual is the usual number of calls a second, and factor by how much the present one exceeds it.
+	usual, factor float64
+	rate, burst   float64
+	// since is when the present rate and burst took effect; loosest are the ones that bind until one window later.
+	since                       time.Time
+	previousRate, previousBurst float64
+	admitted, refused           []time.Time
+}
+
+// quotaSystem is a system with workspaces, whose admitted calls all run.
+type quotaSystem struct {
+	*simulation
+	workspaces []*limitedWorkspace
+	// skew is how unevenly calls are spread over entries: 1 spreads them evenly.
+	skew   float64
+	lookup map[string]*limitedWorkspace
+	calls  *rand.Rand
+}
+
+// startQuota returns a running system in which every workspace sends at its usual rate.
+func startQuota(t fatalReporter, replicas, entries int, seed uint64) *quotaSystem {
+	q := &quotaSystem{skew: 1.5, lookup: map[string]*limitedWorkspace{}, calls: rand.New(rand.NewPCG(seed, 11))}
+	sum := 0.0
+	for i := range workspaceCount {
+		sum += math.Pow(float64(i+1), -workspaceSkew)
+	}
+	for i := range workspaceCount {
+		usual := callsPerEntry * float64(entries) * math.Pow(float64(i+1), -workspaceSkew) / sum
+		w := &limitedWorkspace{name: fmt.Sprint("w", i), usual: usual, factor: 1, rate: limitHeadroom * usual, burst: limitHeadroom * usual}
+		w.previousRate, w.previousBurst = w.rate, w.burst
+		q.workspaces = append(q.workspaces, w)
+		q.lookup[w.name] = w
+	}
+	s := newSimulation(t, replicas, 0, seed)
+	q.simulation = s
+	for i := range entries {
+		e := &simEntry{name: fmt.Sprint("e", i)}
+		s.entries = append(s.entries, e)
+		s.startEntry(e)
+	}
+	s.runFor(3 * time.Second)
+	q.applyLimits()
+	q.run(3 * time.Second)
+	return q
+}
+
+// applyLimits applies a document with the present limits.
+func (q *quotaSystem) applyLimits() {
+	revision, _ := q.leader().stateMachine.Document()
+	doc := document(revision, fmt.Sprint("limits-", revision))
+	for _, w := range q.workspaces {
+		doc.Workspaces = append(doc.Workspaces, validator.Workspace{Name: w.name, Keys: []string{"key-" + w.name}, RatePerSecond: w.rate, Burst: w.burst})
+	}
+	q.apply(q.leader(), doc)
+}
+
+// run lets callers send for a time.
+func (q *quotaSystem) run(d time.Duration) {
+	for end := q.now.Add(d); q.now.Before(end); {
+		for _, w := range q.workspaces {
+			for range poisson(q.calls, w.usual*w.factor*step.Seconds()) {
+				i := int(float64(len(q.entries)) * math.Pow(q.calls.Float64(), q.skew))
+				q.send(q.entries[i], w)
+			}
+		}
+		q.step()
+	}
+}
+
+func (q *quotaSystem) send(e *simEntry, w *limitedWorkspace) {
+	if !e.up || e.frozen {
+		return
+	}
+	if e.admitter.Admit(q.now, w.name, serviceName, 0).Verdict == admitter.Admitted {
+		w.admitted = append(w.admitted, q.now)
+		return
+	}
+	w.refused = append(w.refused, q.now)
+}
+
+// poisson draws the number of events of a mean.
+func poisson(source *rand.Rand, mean float64) int {
+	n := 0
+	for p := source.Float64(); p > math.Exp(-mean); n++ {
+		p *= source.Float64()
+	}
+	return n
+}
+
+// setLimit changes a limit. The former one may be used for one window more.
+func (q *quotaSystem) setLimit(w *limitedWorkspace, rate, burst float64) {
+	w.previousRate, w.previousBurst = w.rate, w.burst
+	w.rate, w.burst, w.since = rate, burst, q.now
+}
+
+// most returns the highest number of calls that were admitted in any window, as a part of what the bound allows.
+func (w *limitedWorkspace) most() float64 {
+	worst, start := 0.0, 0
+	for end, at := range w.admitted {
+		for at.Sub(w.admitted[start]) >= quotaWindow {
+			start++
+		}
+		rate, burst := w.rate, w.burst
+		if w.admitted[start].Before(w.since.Add(quotaWindow)) {
+			rate, burst = max(rate, w.previousRate), max(burst, w.previousBurst)
+		}
+		allowed := (rate*quotaWindow.Seconds()+burst)*(1+quotaOvershoot) + quotaSlack
+		worst = max(worst, float64(end-start+1)/allowed)
+	}
+	return worst
+}
+
+// checkQuota fails if a workspace has passed the bound, and returns the worst part of it that was used.
+func (q *quotaSystem) checkQuota() float64 {
+	worst := 0.0
+	for _, w := range q.workspaces {
+		most := w.most()
+		if most > 1 {
+			q.t.Fatalf("%s with a limit of %.1f calls a second has used %.2f of the bound in some %s", w.name, w.rate, most, quotaWindow)
+		}
+		worst = max(worst, most)
+	}
+	return worst
+}
+
+// after returns how many of the times lie between two.
+func between(times []time.Time, from, until time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// refusedBelow returns how many calls were refused although a token bucket with the limit, which all admitted calls are
+// taken from, has held a token for feedbackTime.
+func (w *limitedWorkspace) refusedBelow() int {
+	n, next := 0, 0
+	tokens := w.burst
+	var at, since time.Time
+	for _, refused := range w.refused {
+		advance := func(until time.Time) {
+			if tokens < 1 && !at.IsZero() {
+				since = at.Add(time.Duration((1 - tokens) / w.rate * float64(time.Second)))
+			}
+			tokens = min(tokens+w.rate*until.Sub(at).Seconds(), max(w.burst, 1))
+			at = until
+		}
+		for ; next < len(w.admitted) && !w.admitted[next].After(refused); next++ {
+			advance(w.admitted[next])
+			tokens--
+		}
+		advance(refused)
+		if tokens >= 1 && refused.Sub(since) > feedbackTime {
+			n++
+		}
+	}
+	return n
+}
+
+// feedbackTime is the time from a call until a share that counts it is in force.
+const feedbackTime = 500 * time.Millisecond
+
+// refusedCalls returns how many calls of all workspaces were refused below their limits.
+func (q *quotaSystem) refusedBelow() int {
+	n := 0
+	for _, w := range q.workspaces {
+		n += w.refusedBelow()
+	}
+	return n
+}
+
+// surges are the systems and workspaces of the load tests: the largest workspace, one of the middle and the smallest.
+var surges = []struct {
+	entries, workspace int
+}{
+	{16, 0}, {16, 20}, {16, 85},
+	{140, 0}, {140, 20}, {140, 85},
+	{313, 0}, {313, 20}, {313, 85},
+}
+
+// TestRateLimitOfSurgingWorkspace guards against a workspace that sends 8 times its usual rate and exceeds its limit,
+// or gets less than it, or has others refused, at all sizes.
+func TestRateLimitOfSurgingWorkspace(t *testing.T) {
+	for _, tt := range surges {
+		t.Run(fmt.Sprintf("%d entries, workspace %d", tt.entries, tt.workspace), func(t *testing.T) {
+			q := startQuota(t, 5, tt.entries, 1)
+			w := q.workspaces[tt.workspace]
+			q.run(4 * time.Second)
+			w.factor = 8
+			surge := q.now
+			q.run(4 * time.Second) // calls before the first share are made up for
+			from := q.now
+			q.usage = usageMessages{}
+			const measured = 12
+			q.run(measured * time.Second)
+			used := float64(between(w.admitted, from, q.now)) / (w.rate * measured)
+			whole := float64(between(w.admitted, surge, q.now)) / (w.rate * q.now.Sub(surge).Seconds())
+			u := q.usage
+			w.factor = 1
+			q.run(6 * time.Second)
+			below := q.refusedBelow()
+			t.Logf("| %d | %.1f | %.2f | %.2f | %.2f | %d | %.1f | %.1f | %.1f | %.1f |", tt.entries, w.rate, w.most(), whole, used, below,
+				float64(u.reports)/measured/float64(tt.entries), float64(u.relays)/measured, float64(u.updates)/measured/float64(tt.entries), float64(u.heartbeats)/measured/float64(tt.entries))
+			q.checkQuota()
+			assert.Check(t, used*w.rate*measured >= math.Floor(0.95*w.rate*measured), "%.3f of the limit used", used)
+			assert.Check(t, below == 0, "%d calls refused below the limit", below)
+		})
+	}
+}
+
+// cutEntry cuts an entry off from all replicas.
+func (q *quotaSystem) cutEntry(e *simEntry) {
+	for _, c := range q.replicas {
+		q.cutLinks[[2]string{e.name, c.name}] = true
+		q.cutLinks[[2]string{c.name, e.name}] = true
+	}
+}
+
+// sendsAfterContact is how long an entry serves requests with keys after its last contact with control.
+const sendsAfterContact = 3500 * time.Millisecond
+
+// TestRateLimitHoldsUnderFaults guards against a limit that is passed because counts, shares or buckets are lost. The
+// largest workspace sends 8 times its usual rate from the time of the fault, or from three seconds before it.
+func TestRateLimitHoldsUnderFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(q *quotaSystem)
+	}{
+		{"none", func(q *quotaSystem) { q.run(sendsAfterContact) }},
+		{"leader stops", func(q *quotaSystem) {
+			c := q.leader()
+			q.crash(c)
+			q.run(5 * time.Second)
+			q.start(c)
+		}},
+		{"leader cut off", func(q *quotaSystem) {
+			q.isolate(q.leader().name, true)
+			q.run(5 * time.Second)
+			q.heal()
+		}},
+		{"replica cut off from the others", func(q *quotaSystem) {
+			lost := q.replicas[0]
+			for _, c := range q.replicas {
+				q.cutLinks[[2]string{lost.name, c.name}] = c != lost
+				q.cutLinks[[2]string{c.name, lost.name}] = c != lost
+			}
+			q.run(5 * time.Second)
+			q.heal()
+		}},
+		{"a sixth of the entries cut off", func(q *quotaSystem) {
+			cut := q.entries[:len(q.entries)/6]
+			for _, e := range cut {
+				q.cutEntry(e)
+			}
+			q.run(sendsAfterContact)
+			for _, e := range cut {
+				e.frozen = true // it serves no keyed requests any more
+			}
+			q.run(2 * time.Second)
+			for _, e := range cut {
+				e.frozen = false
+			}
+			q.heal()
+		}},
+		{"all control stops", func(q *quotaSystem) {
+			for _, c := range q.replicas {
+				q.crash(c)
+			}
+			q.run(sendsAfterContact)
+			q.heal()
+		}},
+		{"all control cut off", func(q *quotaSystem) {
+			for _, e := range q.entries {
+				q.cutEntry(e)
+			}
+			q.run(sendsAfterContact)
+			q.heal()
+		}},
+		{"entries restart", func(q *quotaSystem) {
+			for _, e := range q.entries[:len(q.entries)/4] {
+				q.crashEntry(e)
+				q.startEntry(e)
+				q.run(100 * time.Millisecond)
+			}
+		}},
+		{"entries frozen", func(q *quotaSystem) {
+			frozen := q.entries[:len(q.entries)/4]
+			for _, e := range frozen {
+				e.frozen = true
+			}
+			q.run(2 * time.Second)
+			for _, e := range frozen {
+				e.frozen = false
+			}
+		}},
+		{"messages between replicas lost", func(q *quotaSystem) {
+			q.lossRate = 0.2
+			q.run(5 * time.Second)
+			q.lossRate = 0
+		}},
+	}
+	for _, tt := range tests {
+		for _, entries := range []int{16, 140, 313} {
+			for _, workspace := range []int{0, 20, 85} {
+				for _, before := range []time.Duration{0, 3 * time.Second} {
+					t.Run(fmt.Sprintf("%s, %d entries, workspace %d, surge %s before", tt.name, entries, workspace, before), func(t *testing.T) {
+						q := startQuota(t, 5, entries, 1)
+						q.run(2 * time.Second)
+						w := q.workspaces[workspace]
+						w.factor = 8
+						q.run(before)
+						fault := q.now
+						tt.fault(q)
+						restored := q.now
+						q.run(8 * time.Second)
+						inFault := 0.0
+						if d := restored.Sub(fault).Seconds(); d > 0 {
+							inFault = float64(between(w.admitted, fault, restored)) / (w.rate * d)
+						}
+						later := float64(between(w.admitted, restored.Add(3*time.Second), q.now)) / (w.rate * 5)
+						t.Logf("| %s | %d | %.1f | %s | %.2f | %.2f | %.2f | %d |", tt.name, entries, w.rate, before, w.most(), inFault, later, q.refusedBelow())
+						q.checkQuota()
+						assert.Check(t, later*w.rate*5 >= math.Floor(0.9*w.rate*5), "%.2f of the limit used after the fault", later)
+					})
+				}
+			}
+		}
+	}
+}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -55,6 +55,8 @@
 		c.onClaiming(now, conn, v)
 	case messenger.PermitRequest:
 		c.onPermitRequest(now, conn, e, v)
+	case messenger.UsageReport:
+		c.onUsageReport(now, v)
 	}
 }
 
@@ -136,6 +138,7 @@
 	if limits := c.permits.Limits(); len(limits) > 0 {
 		c.emit(SendEntry{Conn: conn, Message: messenger.LimitUpdate{Full: true, Limits: limits}})
 	}
+	c.sendAdmission(conn)
 }
 
 func (c *Controller) sendConfig(conn Conn) {
@@ -182,6 +185,9 @@
 	e.leaving = b.Leaving
 	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.inContactWithQuorum(now)
 	reply := messenger.HeartbeatReply{Sequence: b.Sequence, ConfigLease: holdsLease, Entries: c.entryCount(now)}
+	if c.hasRateLimits() && !c.hasLeaderContact(now) {
+		reply.Entries = 0 // tells the entry to limit workspaces on its own
+	}
 	if holdsLease {
 		e.configLeaseUntil = now.Add(messenger.ConfigLeaseDuration)
 		reply.Shares = c.entryShares(now, e.hello.Entry)
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -31,6 +31,8 @@
 	Endpoints []registrar.Announcement `json:"endpoints"`
 	// Limits lists the limits that endpoints name, as this replica knows them.
 	Limits []LimitStatus `json:"limits,omitempty"`
+	// Admission lists the shares of calls that entries admit, as this replica knows them.
+	Admission []AdmissionStatus `json:"admission,omitempty"`
 	// PermitsIssued is the number of permits issued by this process.
 	PermitsIssued uint64 `json:"permits-issued"`
 }
@@ -92,6 +94,7 @@
 		ClaimsLog:           c.logStatus(&c.claims),
 		Endpoints:           c.registry.List(""),
 		PermitsIssued:       c.permits.Issued(),
+		Admission:           c.admissionStatuses(),
 	}
 	for _, l := range c.permits.Statuses() {
 		s.Limits = append(s.Limits, LimitStatus{
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"comfreyplank.org/core/admitter"
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/controller"
@@ -78,8 +79,10 @@
 	// permitMessages counts the requests of entries for permits, and limitMessages the messages to
 	// them with limits.
 	permitMessages, limitMessages int
-	responses                     int
-	lastCall                      int
+	// usage counts the messages for rate limits.
+	usage     usageMessages
+	responses int
+	lastCall  int
 }
 
 // delivery is an event that happens later at a node.
@@ -113,6 +116,7 @@
 	name         string
 	stateMachine *subscriber.Subscriber
 	balancer     *balancer.Balancer
+	admitter     *admitter.Admitter
 	up           bool
 	starts       int
 	// stream numbers the streams of the entry. Messages of an earlier stream are lost.
@@ -267,6 +271,7 @@
 		options = append(options, subscriber.WithDiscovery())
 	}
 	e.stateMachine = subscriber.New(hello, addresses, options...)
+	e.admitter = admitter.New(admitter.WithRand(rand.New(rand.NewPCG(uint64(connOf(e)), 5))))
 	e.balancer = balancer.New(hello.Entry, validator.Service{Name: serviceName, QueueLimit: 10, RetryPercent: 20}, append(s.balancerOptions, balancer.WithRand(s.newRand()))...)
 }
 
@@ -338,6 +343,11 @@
 	if isDue(s.now, e.balancer.Due()) {
 		s.handleBalancer(e, balancer.Tick{})
 	}
+	if isDue(s.now, e.admitter.Due()) {
+		if report, confirm, ok := e.admitter.Report(s.now); ok {
+			s.handleEntry(e, subscriber.UsageCounted{Report: report, Confirm: confirm})
+		}
+	}
 }
 
 func isDue(now, due time.Time) bool { return !due.IsZero() && !now.Before(due) }
@@ -375,6 +385,9 @@
 func (s *simulation) execute(c *replica, a controller.Action) {
 	switch v := a.(type) {
 	case controller.SendPeer:
+		if _, ok := v.Message.(messenger.RelayedUsage); ok {
+			s.usage.relays++
+		}
 		s.deliverLater(c.name, v.Address, false, func() {
 			if to := s.replica(v.Address); to.up {
 				s.handle(to, controller.PeerMessage{Message: v.Message})
@@ -460,6 +473,9 @@
 					if _, ok := v.Message.(messenger.LimitUpdate); ok {
 						s.limitMessages++
 					}
+					if _, ok := v.Message.(messenger.AdmissionUpdate); ok {
+						s.usage.updates++
+					}
 					s.handleEntry(e, subscriber.MessageReceived{Message: v.Message})
 				}
 			})
@@ -486,6 +502,9 @@
 			s.t.Fatalf("%s went from revision %d to %d", e.name, e.revision, v.Revision)
 		}
 		e.revision = v.Revision
+		e.admitter.Configure(s.now, v.Document.Workspaces)
+	case subscriber.UpdateAdmission:
+		e.admitter.Apply(s.now, v.Update)
 	case subscriber.Reconfigure:
 		e.learn(v.Reconfigure.Endpoints)
 		s.handleBalancer(e, v.Reconfigure)
@@ -493,6 +512,9 @@
 		e.learn(v.Changed.Changed)
 		s.handleBalancer(e, v.Changed)
 	case subscriber.RenewConfigLease:
+		if v.Counted {
+			e.admitter.Contact(s.now, v.Entries)
+		}
 		s.handleBalancer(e, balancer.ConfigLeaseChanged{Until: v.Until, Entries: v.Entries})
 	case subscriber.Grant:
 		e.shareGrants = []balancer.ShareGranted{v.Granted}
@@ -538,8 +560,13 @@
 	if c == nil {
 		return
 	}
-	if _, ok := m.(messenger.PermitRequest); ok {
+	switch m.(type) {
+	case messenger.PermitRequest:
 		s.permitMessages++
+	case messenger.UsageReport:
+		s.usage.reports++
+	case messenger.Heartbeat:
+		s.usage.heartbeats++
 	}
 	s.deliverLater(e.name, c.name, true, func() {
 		if c.up && e.connectedTo == c && connOf(e) == conn {
--- a/core/messenger/admission.go
+++ b/core/messenger/admission.go
@@ -28,11 +28,17 @@
 	Overloaded int
 }
 
-// RelayedUsage passes the reports of a replica's entries on to the leader, added up.
+// RelayedUsage passes the reports of a replica's entries on to the leader. It lists the sums of the leader's term that
+// have changed recently, so that the next message makes up for a lost one.
 type RelayedUsage struct {
-	// From is the name of the sender.
-	From  string
-	Usage UsageReport
+	// From is the name of the sender, and Run identifies its process.
+	From string
+	Run  uint64
+	// Term is that of the leader which the message is meant for.
+	Term uint64
+	// Sequence rises with each message of a process.
+	Sequence uint64
+	Usage    UsageReport
 }
 
 // AdmissionUpdate lists the shares of calls that entries admit, of the workspaces and the services that can't be
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -101,7 +101,8 @@
 	Sequence uint64
 	// ConfigLease is set if the configuration lease was granted or renewed.
 	ConfigLease bool
-	// Entries is the number of entries that are connected to all replicas; zero when unknown.
+	// Entries is the number of entries that are connected to all replicas; zero when unknown. Where workspaces have rate
+	// limits it is zero too while the counts of the entry may not reach a leader.
 	Entries int
 	Shares  []ServiceShare
 }
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -51,6 +51,7 @@
 		s.emit(Send{Message: messenger.EndpointAnnouncements{Announcements: list}})
 	}
 	s.sendHeartbeat(now)
+	s.sendUsage(now)
 	s.sendAllCommands(now)
 }
 
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -79,6 +79,13 @@
 	Wanted  balancer.RequestPermits
 }
 
+// UsageCounted delivers the calls that this entry has counted since the last time.
+type UsageCounted struct {
+	Report messenger.UsageReport
+	// Confirm is set if contact with control must be confirmed before the next heartbeat is due.
+	Confirm bool
+}
+
 // SeedsChanged replaces the replica addresses that come from the settings.
 type SeedsChanged struct {
 	Addresses []string
@@ -95,6 +102,7 @@
 func (Announced) input()       {}
 func (Command) input()         {}
 func (PermitsWanted) input()   {}
+func (UsageCounted) input()    {}
 func (SeedsChanged) input()    {}
 func (Tick) input()            {}
 
@@ -137,6 +145,8 @@
 	Until time.Time
 	// Entries is the number of entries that control knows; zero when unknown.
 	Entries int
+	// Counted is set if the calls that this entry counts reach the leader.
+	Counted bool
 }
 
 // Grant replaces a service's share of the probe budget.
@@ -157,6 +167,11 @@
 	Granted balancer.PermitsGranted
 }
 
+// UpdateAdmission replaces the shares of calls that the entry admits.
+type UpdateAdmission struct {
+	Update messenger.AdmissionUpdate
+}
+
 // Record adds an event to the timeline.
 type Record struct {
 	Event recorder.Event
@@ -172,6 +187,7 @@
 func (Grant) action()            {}
 func (Decide) action()           {}
 func (GrantPermits) action()     {}
+func (UpdateAdmission) action()  {}
 func (Record) action()           {}
 
 // pendingCommand is a command that waits for the reply of the claims log.
@@ -241,7 +257,11 @@
 	// again. It may contain commands that already have a reply.
 	resends []uint64
 
+	// entries is the number of entries that control last named.
+	entries int
+
 	permits permits
+	usage   usage
 	// limits holds the limits of endpoints that control knows.
 	limits map[registrar.Name]permitter.EndpointLimit
 
@@ -304,6 +324,8 @@
 		s.onCommand(now, v)
 	case PermitsWanted:
 		s.onPermitsWanted(now, v)
+	case UsageCounted:
+		s.onUsageCounted(now, v)
 	case SeedsChanged:
 		s.seeds = slices.Clone(v.Addresses)
 		s.mergeReplicas()
@@ -364,6 +386,7 @@
 	s.nextHeartbeat = now.Add(s.heartbeatInterval())
 	s.sequence++
 	s.heartbeats = append(s.heartbeats, heartbeat{s.sequence, now})
+	s.usage.lastHeartbeat = now
 	s.emit(Send{Message: messenger.Heartbeat{Sequence: s.sequence, Revision: s.revision, Leaving: s.leaving}})
 }
 
@@ -390,6 +413,8 @@
 		s.onPermitReply(v)
 	case messenger.LimitUpdate:
 		s.onLimits(now, v)
+	case messenger.AdmissionUpdate:
+		s.emit(UpdateAdmission{Update: v})
 	case messenger.Lagging:
 		s.onLagging(now)
 	}
@@ -423,7 +448,10 @@
 	s.laggingReplicas = 0
 	s.failedStreams = 0
 	s.configLeaseUntil = sentAt.Add(messenger.ConfigLeaseDuration)
-	s.emit(RenewConfigLease{Until: s.configLeaseUntil, Entries: v.Entries})
+	if v.Entries > 0 {
+		s.entries = v.Entries
+	}
+	s.emit(RenewConfigLease{Until: s.configLeaseUntil, Entries: s.entries, Counted: v.Entries > 0})
 	if !s.configLeaseHeld {
 		s.configLeaseHeld = true
 		s.record(recorder.KindConfigLeaseChanged, fmt.Sprintf("in standing at revision %d", s.revision))
