Keep the rate limits when messages, entries or a leader are lost

Counts that a failed leader had got were lost, entries behind a replica without a leader took it for contact, and cut-off entries used a part of the limits that the leader gave to the others. Sums now start again for each leader with what the last one may have lost, heartbeat replies tell whether counts arrive, and the leader keeps a part of each limit for missing entries.

--- a/core/admitter/workspace.go
+++ b/core/admitter/workspace.go
@@ -39,7 +39,7 @@
 	limitWindow    = 5 * time.Second
 	limitOvershoot = 0.1
 	limitSlack     = 20
-	localPart      = 0.95
+	localPart      = 0.9
 	// spareRate is the part of the rate limit that entries may use locally beyond their usual rates: the limit is
 	// typically 1.6 times the usual rate, and chance needs some room.
 	spareRate = 0.3
--- a/core/controller/admission.go
+++ b/core/controller/admission.go
@@ -19,12 +19,21 @@
 	// usageContactTime is how recently a quorum must have followed the leader that gets the counts: three of the leader's
 	// heartbeats.
 	usageContactTime = 450 * time.Millisecond
-	// maxUsageAge is how long counts are kept for a leader that is not known: the window of the rate limits.
-	maxUsageAge = 5 * time.Second
+	// maxUsageAge is how long counts are kept for a leader that is not known: longer than an election. Entries that move
+	// to another replica report again what may not have arrived, so that older counts would be counted twice.
+	maxUsageAge = 1500 * time.Millisecond
 	// maxLostTime is how long counts may be sent to a leader that is gone, until its replicas notice.
 	maxLostTime = usageContactTime
 	// usageRepeatTime is how long a sum that has changed is listed, so that a few messages may be lost.
 	usageRepeatTime = time.Second
+	// silentEntryTimeout is the time since the last heartbeat after which an entry is missing. missingTime is how long
+	// it may then run calls that are not counted: requests with keys end 3 to 4 s after the last contact.
+	silentEntryTimeout = messenger.HeartbeatInterval + 200*time.Millisecond
+	missingTime        = 4500 * time.Millisecond
+	// missingWeight is what a missing entry may use, as a multiple of an equal part of the limit.
+	missingWeight = 1.3
+	// maxMissing bounds the part of the limits that is kept for missing entries.
+	maxMissing = 0.9
 	// admissionInterval is the minimum time between two updates of shares.
 	admissionInterval = 100 * time.Millisecond
 	// admissionRepeatDelay is the time after a change at which the leader repeats an update to the replicas, which may
@@ -66,6 +75,9 @@
 	relayTerm uint64
 	sequence  uint64
 	recent    []sentUsage
+	// lost and joined are the times of the last contact of the entries that have disconnected, and those at which entries
+	// have connected, within missingTime.
+	lost, joined []time.Time
 	// relayedAt is when counts were last passed on to a leader, or would have been.
 	relayedAt time.Time
 	// hasLimits is set if the document of limitsRevision limits workspaces.
@@ -101,6 +113,7 @@
 type usageSender struct {
 	run      uint64
 	sequence uint64
+	missing  int
 	// at is when the last message arrived, and seen what it and the earlier ones have listed.
 	at   time.Time
 	seen usageSum
@@ -307,7 +320,8 @@
 		a.recent = a.recent[1:]
 	}
 	message := messenger.RelayedUsage{
-		From: c.self.Name, Run: c.incarnation, Term: a.relayTerm, Sequence: a.sequence, Usage: a.relayed.since(now.Add(-usageRepeatTime)),
+		From: c.self.Name, Run: c.incarnation, Term: a.relayTerm, Sequence: a.sequence, Missing: c.missingEntries(now),
+		Usage: a.relayed.since(now.Add(-usageRepeatTime)),
 	}
 	if address == "" {
 		c.recordUsage(now, message)
@@ -353,7 +367,8 @@
 		return
 	}
 	span := now.Sub(sender.at)
-	sender.sequence, sender.at = v.Sequence, now
+	sender.sequence, sender.at, sender.missing = v.Sequence, now, v.Missing
+	a.limiter.Reserve(now, c.missingPart(now))
 	added := sender.seen.replace(now, v.Usage)
 	a.limiter.Record(now, span, added.Workspaces)
 	if a.services != nil && len(added.Services) > 0 {
@@ -361,6 +376,47 @@
 	}
 }
 
+// missingEntries returns how many entries this replica has lost within missingTime, less those that have connected.
+func (c *Controller) missingEntries(now time.Time) int {
+	a := &c.admission
+	a.lost = dropBefore(a.lost, now.Add(-missingTime))
+	a.joined = dropBefore(a.joined, now.Add(-missingTime))
+	missing := len(a.lost) - len(a.joined)
+	for _, e := range c.entries {
+		if silent := now.Sub(e.heardAt); !e.disconnected && silent > silentEntryTimeout && silent <= missingTime {
+			missing++
+		}
+	}
+	return missing
+}
+
+func dropBefore(times []time.Time, at time.Time) []time.Time {
+	return slices.DeleteFunc(times, func(t time.Time) bool { return t.Before(at) })
+}
+
+// noteJoined and noteLost record that an entry has connected or disconnected.
+func (a *admission) noteJoined(now time.Time) { a.joined = append(a.joined, now) }
+
+func (a *admission) noteLost(now time.Time, e *entry) {
+	if now.Sub(e.heardAt) <= missingTime {
+		a.lost = append(a.lost, e.heardAt)
+	}
+}
+
+// missingPart returns the part of the limits that is kept for entries which nobody counts, as a leader.
+func (c *Controller) missingPart(now time.Time) float64 {
+	missing := 0
+	for _, s := range c.admission.senders {
+		if now.Sub(s.at) <= missingTime {
+			missing += s.missing
+		}
+	}
+	if missing <= 0 {
+		return 0
+	}
+	return min(missingWeight*float64(missing)/float64(c.knownEntries(now)+missing), maxMissing)
+}
+
 // hasDecisions reports whether this replica leads and may have to change shares.
 func (a *admission) hasDecisions() bool {
 	return a.limiter != nil && (a.limiter.Due() || a.services != nil && a.services.Due())
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -30,13 +30,16 @@
 	// configLeaseUntil is when the entry's configuration lease has certainly expired, unless it
 	// is renewed.
 	configLeaseUntil time.Time
-	leaving          []messenger.Leaving
-	disconnected     bool
+	// heardAt is when the entry connected or sent its last heartbeat.
+	heardAt      time.Time
+	leaving      []messenger.Leaving
+	disconnected bool
 }
 
 func (c *Controller) onEntry(now time.Time, conn Conn, m messenger.ToControl) {
 	if v, ok := m.(messenger.Hello); ok {
-		c.entries[conn] = &entry{hello: v, revision: v.Revision}
+		c.entries[conn] = &entry{hello: v, revision: v.Revision, heardAt: now}
+		c.admission.noteJoined(now)
 		c.record(recorder.Event{Kind: recorder.KindEntryJoined, Detail: v.Entry})
 		c.onHello(now, conn, v)
 		c.startEntryRead(now, conn)
@@ -182,6 +185,7 @@
 
 func (c *Controller) onHeartbeat(now time.Time, conn Conn, e *entry, b messenger.Heartbeat) {
 	e.revision = b.Revision
+	e.heardAt = now
 	e.leaving = b.Leaving
 	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.inContactWithQuorum(now)
 	reply := messenger.HeartbeatReply{Sequence: b.Sequence, ConfigLease: holdsLease, Entries: c.entryCount(now)}
@@ -203,6 +207,7 @@
 		return
 	}
 	e.disconnected = true
+	c.admission.noteLost(now, e)
 	if now.Before(e.configLeaseUntil) {
 		c.nextEntryExpiry = scheduler.Earliest(c.nextEntryExpiry, e.configLeaseUntil)
 	} else {
--- a/core/messenger/admission.go
+++ b/core/messenger/admission.go
@@ -38,7 +38,10 @@
 	Term uint64
 	// Sequence rises with each message of a process.
 	Sequence uint64
-	Usage    UsageReport
+	// Missing is the number of entries that the sender has lost recently, less those that have connected to it. The former
+	// may still run calls that nobody counts.
+	Missing int
+	Usage   UsageReport
 }
 
 // AdmissionUpdate lists the shares of calls that entries admit, of the workspaces and the services that can't be
--- a/core/ratelimiter/ratelimiter.go
+++ b/core/ratelimiter/ratelimiter.go
@@ -15,8 +15,8 @@
 // Timing of the control loop.
 const (
 	// reportDelay is the typical age of the counts that have arrived, and of those that arrive before a share is in
-	// force: half of the interval of reports, that of relays, and that of updates.
-	reportDelay = 200 * time.Millisecond
+	// force: that of a report, a relay and an update, each of which waits.
+	reportDelay = 250 * time.Millisecond
 	// minRecoveryTime and maxRecoveryTime bound the time in which a share makes up for tokens that lack or are left, and
 	// recoveryCalls is the number of calls at the rate limit that it covers within these bounds. A shorter one would make
 	// shares swing, since a share shows its effect in the counts only after about 400 ms, and single calls count much
@@ -56,7 +56,7 @@
 	toleranceCalls  = 5
 	toleranceShare  = 0.03
 	keptCalls       = 9
-	keptShare       = 0.024
+	keptShare       = 0
 	toleranceWindow = 5 * time.Second
 )
 
@@ -73,6 +73,8 @@
 // bucket is the token bucket of one workspace.
 type bucket struct {
 	rate, burst float64
+	// reserved is the part of the rate that is kept back.
+	reserved float64
 	// tokens may be negative: then more calls were admitted than the limit allows.
 	tokens float64
 	at     time.Time
@@ -96,6 +98,8 @@
 	// settled is when the limiter starts to decide.
 	settled   time.Time
 	isSettled bool
+	// reserved is the part of each limit that is kept for entries whose calls are not counted.
+	reserved float64
 }
 
 // New returns the limiter of a leader that was elected now. Its buckets are empty, so that a burst that an earlier
@@ -129,7 +133,7 @@
 		known[w.Name] = true
 		b, ok := l.buckets[w.Name]
 		if !ok {
-			b = &bucket{share: 1, at: now, demandAt: now, tokens: w.Burst}
+			b = &bucket{share: 1, reserved: l.reserved, at: now, demandAt: now, tokens: w.Burst}
 			l.buckets[w.Name] = b
 		} else {
 			b.refill(now)
@@ -147,6 +151,18 @@
 	}
 }
 
+// Reserve keeps a part of each limit for entries whose calls are not counted.
+func (l *Limiter) Reserve(now time.Time, part float64) {
+	if part == l.reserved {
+		return
+	}
+	for _, b := range l.buckets {
+		b.refill(now)
+		b.reserved = part
+	}
+	l.reserved = part
+}
+
 // Len returns the number of workspaces that have a rate limit.
 func (l *Limiter) Len() int { return len(l.buckets) }
 
@@ -257,7 +273,7 @@
 		return
 	}
 	b.at = now
-	b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), max(b.burst, b.tokens))
+	b.tokens = min(b.tokens+b.usable()*elapsed.Seconds(), max(b.burst, b.tokens))
 }
 
 // recoveryTime returns the time in which a share makes up for tokens that lack or are left.
@@ -265,6 +281,9 @@
 	return min(max(time.Duration(recoveryCalls/b.rate*float64(time.Second)), minRecoveryTime), maxRecoveryTime)
 }
 
+// usable returns the rate at which calls are admitted.
+func (b *bucket) usable() float64 { return b.rate * (1 - b.reserved) }
+
 // demandTime returns the time over which demand is averaged.
 func (b *bucket) demandTime() time.Duration {
 	return min(max(time.Duration(demandCalls/b.rate*float64(time.Second)), minDemandTime), maxDemandTime)
@@ -292,12 +311,12 @@
 	demand := max(b.demandNow(now), minDemand)
 	if !b.limited {
 		// What has been admitted, but not counted yet.
-		uncounted := max(0, demand-b.rate) * reportDelay.Seconds()
+		uncounted := max(0, demand-b.usable()) * reportDelay.Seconds()
 		if b.tokens-uncounted > -tolerance {
 			return false
 		}
 	}
-	share := (b.rate + (b.tokens+keptDebt(b.rate, b.burst))/b.recoveryTime().Seconds()) / demand
+	share := (b.usable() + (b.tokens+keptDebt(b.rate, b.burst))/b.recoveryTime().Seconds()) / demand
 	if share >= 1 && b.limited && b.tokens >= -tolerance/2 {
 		b.limited, b.share, b.shareAt = false, 1, now
 		return true
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -60,6 +60,7 @@
 	s.connecting = false
 	s.heartbeats = nil
 	s.permits.sent = nil
+	s.keepUnconfirmedUsage()
 	clear(s.permits.pending)
 }
 
--- a/core/subscriber/usage.go
+++ b/core/subscriber/usage.go
@@ -8,16 +8,20 @@
 )
 
 const (
-	// maxUsageAge is how long counts wait for a stream: the window of the rate limits. Older ones would refuse calls
-	// without need.
-	maxUsageAge = 5 * time.Second
+	// maxUsageAge is how long counts wait for a stream. An entry that has been without one for longer was missing to the
+	// leader, which has kept a part of the limits for it.
+	maxUsageAge = 2 * time.Second
 	// confirmInterval is the minimum time between a heartbeat and one that confirms the contact.
 	confirmInterval = 150 * time.Millisecond
+	// usageTransit is how long before the last message of a stream a report may have been sent that has not arrived.
+	usageTransit = 100 * time.Millisecond
 )
 
 // usage holds the reports that wait for a stream.
 type usage struct {
 	pending []pendingUsage
+	// sent lists the reports of the present stream that may not have arrived yet.
+	sent []pendingUsage
 	// lastHeartbeat is when the last heartbeat was sent.
 	lastHeartbeat time.Time
 }
@@ -56,6 +60,25 @@
 	s.dropOldUsage(now)
 	for _, p := range s.usage.pending {
 		s.emit(Send{Message: p.report})
+		s.usage.sent = append(s.usage.sent, pendingUsage{p.report, now})
 	}
 	s.usage.pending = nil
+	s.dropArrived()
+}
+
+// dropArrived forgets the reports that have arrived, as far as later messages of the replica show.
+func (s *Subscriber) dropArrived() {
+	sent := s.usage.sent
+	for len(sent) > 0 && sent[0].at.Before(s.lastMessageAt.Add(-usageTransit)) {
+		sent = sent[1:]
+	}
+	s.usage.sent = sent
+}
+
+// keepUnconfirmedUsage has the reports that may not have arrived sent again on the next stream. Counting a few calls
+// twice limits a workspace for a moment, but not counting them would let it pass its limit.
+func (s *Subscriber) keepUnconfirmedUsage() {
+	s.dropArrived()
+	s.usage.pending = append(s.usage.sent, s.usage.pending...)
+	s.usage.sent = nil
 }
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -38,7 +38,7 @@
 	case messenger.LimitUpdate:
 		return &wire.FromPeer{Message: &wire.FromPeer_LimitUpdate{LimitUpdate: encodeLimitUpdate(v)}}, nil
 	case messenger.RelayedUsage:
-		usage := &wire.RelayedUsage{From: v.From, Run: v.Run, Term: v.Term, Sequence: v.Sequence, Usage: encodeUsageReport(v.Usage)}
+		usage := &wire.RelayedUsage{From: v.From, Run: v.Run, Term: v.Term, Sequence: v.Sequence, Missing: int64(v.Missing), Usage: encodeUsageReport(v.Usage)}
 		return &wire.FromPeer{Message: &wire.FromPeer_RelayedUsage{RelayedUsage: usage}}, nil
 	case messenger.AdmissionUpdate:
 		return &wire.FromPeer{Message: &wire.FromPeer_AdmissionUpdate{AdmissionUpdate: encodeAdmissionUpdate(v)}}, nil
@@ -74,7 +74,7 @@
 	case *wire.FromPeer_RelayedUsage:
 		return messenger.RelayedUsage{
 			From: v.RelayedUsage.GetFrom(), Run: v.RelayedUsage.GetRun(), Term: v.RelayedUsage.GetTerm(), Sequence: v.RelayedUsage.GetSequence(),
-			Usage: decodeUsageReport(v.RelayedUsage.GetUsage()),
+			Missing: int(v.RelayedUsage.GetMissing()), Usage: decodeUsageReport(v.RelayedUsage.GetUsage()),
 		}, nil
 	case *wire.FromPeer_AdmissionUpdate:
 		return decodeAdmissionUpdate(v.AdmissionUpdate), nil
