Apply rate limits and shares at entries, and count what they admit

The state machines of rate limits had no entry to run in. A regulator now holds the admitter, the dispatcher has a stage for it that refuses with 429 or 503 before any probe, and a call that has not run is given back.

--- a/control/counter/counter.go
+++ b/control/counter/counter.go
@@ -43,6 +43,13 @@
 	)
 }
 
+// ObserveWorkspaces registers a metric of the workspaces at their rate limits, whose number the function returns.
+func ObserveWorkspaces(registry prometheus.Registerer, limited func() int) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "comfreyplank_limited_workspaces", Help: "Workspaces that send more than their rate limits.",
+	}, func() float64 { return float64(limited()) }))
+}
+
 // Event counts an event of the given kind.
 func (c *Counter) Event(kind recorder.Kind) { c.events.WithLabelValues(string(kind)).Inc() }
 
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -484,6 +484,13 @@
 	return d.stateMachine.LimitTotals()
 }
 
+// LimitedWorkspaces returns the number of workspaces that are at their rate limits.
+func (d *Driver) LimitedWorkspaces() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stateMachine.LimitedWorkspaces()
+}
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (d *Driver) Document() (uint64, validator.Document) {
 	d.mu.Lock()
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -113,6 +113,7 @@
 		return err
 	}
 	counter.ObserveLimits(prometheus.DefaultRegisterer, d.LimitTotals)
+	counter.ObserveWorkspaces(prometheus.DefaultRegisterer, d.LimitedWorkspaces)
 	streamListener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for entries")
--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -114,8 +114,9 @@
 	return len(a.workspaces) > 0 || a.shedding || a.countServices
 }
 
-// Configure applies the rate limits of a document. An update that arrived before it may list its workspaces.
-func (a *Admitter) Configure(now time.Time, workspaces []validator.Workspace) {
+// Configure applies the rate limits of a document. An update that arrived before it may list its workspaces; it returns
+// those that have reached their limits by it.
+func (a *Admitter) Configure(now time.Time, workspaces []validator.Workspace) []Change {
 	known := make(map[string]bool, len(workspaces))
 	for _, w := range workspaces {
 		if w.RatePerSecond <= 0 {
@@ -134,9 +135,12 @@
 			delete(a.workspaces, name)
 		}
 	}
-	a.applyWorkspaces(now, a.latest.Workspaces)
+	return a.applyWorkspaces(now, a.latest.Workspaces)
 }
 
+// Shares returns the shares of workspaces in force.
+func (a *Admitter) Shares() []messenger.WorkspaceAdmission { return a.latest.Workspaces }
+
 // Contact reports that control is in contact, and how many entries it knows; zero if it does not say.
 func (a *Admitter) Contact(now time.Time, entries int) {
 	a.lastContact = now
--- a/core/admitter/workspace.go
+++ b/core/admitter/workspace.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"time"
 
 	"comfreyplank.org/core/ratelimiter"
@@ -205,7 +206,7 @@
 	if tokens >= maxRetryAfter.Seconds()*rate {
 		return maxRetryAfter
 	}
-	return max(time.Duration(tokens/rate*float64(time.Second)), time.Millisecond)
+	return max(time.Duration(math.Ceil(tokens/rate*float64(time.Second))), time.Millisecond)
 }
 
 // untilShare returns when a call is admitted if the workspace sends no more than its limit until then: the calls before
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -116,6 +116,9 @@
 	return len(c.permits.Statuses()), c.permits.Issued()
 }
 
+// LimitedWorkspaces returns the number of workspaces that are at their rate limits.
+func (c *Controller) LimitedWorkspaces() int { return len(c.admission.latest.Workspaces) }
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (c *Controller) Document() (uint64, validator.Document) {
 	return c.committer.Revision(), c.committer.Document()
--- a/core/ratelimiter/ratelimiter.go
+++ b/core/ratelimiter/ratelimiter.go
@@ -125,6 +125,7 @@
 // Configure applies the rate limits of a document. A bucket holds no more than its new burst, and that of a workspace
 // which had no limit before is full.
 func (l *Limiter) Configure(now time.Time, workspaces []validator.Workspace) {
+	l.settle(now)
 	known := make(map[string]bool, len(workspaces))
 	for _, w := range workspaces {
 		if w.RatePerSecond <= 0 {
@@ -156,6 +157,7 @@
 	if part == l.reserved {
 		return
 	}
+	l.settle(now)
 	for _, b := range l.buckets {
 		b.refill(now)
 		b.reserved = part
@@ -201,7 +203,7 @@
 	}
 	l.isSettled = true
 	for _, b := range l.buckets {
-		b.refill(now)
+		b.refill(l.settled)
 		b.tokens = min(b.tokens, 0)
 	}
 }
@@ -221,7 +223,7 @@
 			changed = true // the limit has ended, perhaps with a share in force
 			continue
 		}
-		changed = b.decide(now) || changed
+		changed = b.decide(now, l.isSettled) || changed
 		b.touched = b.limited
 		if b.touched {
 			kept = append(kept, name)
@@ -304,8 +306,8 @@
 	return b.demand * math.Exp(-now.Sub(b.demandAt).Seconds()/b.demandTime().Seconds())
 }
 
-// decide sets the share, and reports whether it has changed.
-func (b *bucket) decide(now time.Time) bool {
+// decide sets the share, and reports whether it has changed. A new leader raises no share before it has settled.
+func (b *bucket) decide(now time.Time, settled bool) bool {
 	b.refill(now)
 	tolerance := Tolerance(b.rate, b.burst)
 	demand := max(b.demandNow(now), minDemand)
@@ -317,11 +319,14 @@
 		}
 	}
 	share := (b.usable() + (b.tokens+keptDebt(b.rate, b.burst))/b.recoveryTime().Seconds()) / demand
-	if share >= 1 && b.limited && b.tokens >= -tolerance/2 {
+	if share >= 1 && settled && b.limited && b.tokens >= -tolerance/2 {
 		b.limited, b.share, b.shareAt = false, 1, now
 		return true
 	}
 	share = min(max(share, 0), 1)
+	if !settled && b.limited && share > b.share {
+		return false
+	}
 	if !b.isWorthTelling(now, share) {
 		return false
 	}
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -23,6 +23,9 @@
 	permits      *prometheus.CounterVec
 	limitedCalls *prometheus.CounterVec
 	calls        *prometheus.HistogramVec
+	workspaces   *prometheus.CounterVec
+	shed         *prometheus.CounterVec
+	shares       *prometheus.GaugeVec
 }
 
 // New returns a counter and registers its metrics.
@@ -52,12 +55,21 @@
 		limitedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyplank_limited_calls_total", Help: "Calls that lacked a permit, by service and whether they passed an endpoint over, waited, or were refused.",
 		}, []string{"service", "result"}),
+		workspaces: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_workspace_calls_total", Help: "Calls of workspaces with a rate limit, by workspace and whether they were admitted or refused because of it.",
+		}, []string{"workspace", "result"}),
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyplank_shed_calls_total", Help: "Calls refused because there is too little room for their priority, by service and priority.",
+		}, []string{"service", "priority"}),
+		shares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "comfreyplank_workspace_share", Help: "Share of the calls of a workspace at its rate limit that is admitted.",
+		}, []string{"workspace"}),
 	}
 	c.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "comfreyplank_call_seconds", Help: "Time from a call's arrival to what became of it, by service and result.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 	}, []string{"service", "result"})
-	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.calls)
+	registry.MustRegister(c.attempts, c.refused, c.probes, c.probeSeconds, c.limits, c.statements, c.permits, c.limitedCalls, c.calls, c.workspaces, c.shed, c.shares)
 	return c
 }
 
@@ -104,3 +116,23 @@
 	}
 	c.refused.WithLabelValues(service, name).Inc()
 }
+
+// WorkspaceCalls adds calls of a workspace with a rate limit.
+func (c *Counter) WorkspaceCalls(workspace string, admitted, refused int) {
+	c.workspaces.WithLabelValues(workspace, "admitted").Add(float64(admitted))
+	c.workspaces.WithLabelValues(workspace, "rate-limited").Add(float64(refused))
+}
+
+// Shed counts a call that was refused because there is too little room for its priority.
+func (c *Counter) Shed(service string, priority int) {
+	c.shed.WithLabelValues(service, strconv.Itoa(priority)).Inc()
+}
+
+// WorkspaceShare sets the share of the calls of a workspace that is admitted, or removes it.
+func (c *Counter) WorkspaceShare(workspace string, share float64, limited bool) {
+	if !limited {
+		c.shares.DeleteLabelValues(workspace)
+		return
+	}
+	c.shares.WithLabelValues(workspace).Set(share)
+}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -216,7 +216,8 @@
 		d.refuse(w, parsed.ID, status, detail)
 		return
 	}
-	d.serve(w, r, match, parsed)
+	// The key stage names the workspace and replaces the priority of the route by that of the workspace.
+	d.serve(w, r, match, parsed, "")
 }
 
 // checkLimits returns the status and detail of the refusal if a request exceeds the limits for
@@ -238,9 +239,15 @@
 	d.deps.Callers.Refuse(w, translator.Refusal{Status: status, Outcome: balancer.OutcomeNotRun, Detail: detail, Request: id})
 }
 
-func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, parsed translator.Request) {
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, parsed translator.Request, workspace string) {
 	arrivedAt := d.deps.Now()
 	service := match.PickService(rand.Float64())
+	admitted, refusal := d.admit(workspace, service, match.Route.Priority)
+	if refusal != nil {
+		refusal.Request = parsed.ID
+		d.deps.Callers.Refuse(w, *refusal)
+		return
+	}
 	s := d.serviceDispatcher(service)
 	call := balancer.Call{
 		Request:       parsed.ID,
@@ -254,6 +261,7 @@
 	if shutdown := d.shutdown.Load(); shutdown != nil {
 		by, ok := shutdown.Accepts(arrivedAt, call.Deadline)
 		if !ok {
+			admitted.giveBack(false)
 			d.refuse(w, parsed.ID, http.StatusServiceUnavailable, "this instance stops before the request's deadline")
 			return
 		}
@@ -261,6 +269,9 @@
 	}
 	request, problem := d.readWithinDeadline(r, &call)
 	if problem != nil {
+		if problem.Outcome == balancer.OutcomeNotRun {
+			admitted.giveBack(false)
+		}
 		problem.Request = parsed.ID
 		d.deps.Callers.Refuse(w, *problem)
 		return
@@ -273,6 +284,9 @@
 	defer s.removeCall(call.ID)
 	select {
 	case v := <-pending.result:
+		if v.refusal != nil && v.refusal.Outcome == balancer.OutcomeNotRun {
+			admitted.giveBack(v.refusal.Reason == balancer.ReasonOverload)
+		}
 		s.writeResult(w, r, v, parsed.ID)
 	case <-r.Context().Done():
 		s.handle(balancer.CallerDisconnected{Call: call.ID})
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -29,6 +29,8 @@
 	Claim func(service string, call balancer.CallID, command claimer.Command)
 	// RequestPermits tells control of an endpoint's limit and asks for permits.
 	RequestPermits func(service string, wanted balancer.RequestPermits)
+	// Admission admits calls within rate limits and shares; if unset, all are admitted.
+	Admission Admission
 	// Counter records the metrics of all services.
 	Counter Metrics
 	// Callers and Endpoints are the protocols; if unset, the product's own are used.
@@ -53,6 +55,9 @@
 	if d.RequestPermits == nil {
 		d.RequestPermits = func(string, balancer.RequestPermits) {}
 	}
+	if d.Admission == nil {
+		d.Admission = admitAll{}
+	}
 	if d.BalancerOptions == nil {
 		d.BalancerOptions = func() []balancer.Option { return nil }
 	}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -16,6 +16,7 @@
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/subscriber"
+	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/dispatcher"
 	"comfreyplank.org/shell/connector"
 	"comfreyplank.org/shell/encoder"
@@ -41,6 +42,7 @@
 	// configLeaseOptional is set for an entry that serves without a configuration lease.
 	configLeaseOptional bool
 	discovery           bool
+	regulator           Regulator
 
 	mu           sync.Mutex
 	stateMachine *subscriber.Subscriber
@@ -71,6 +73,26 @@
 // WithDiscovery lets the entry follow replicas whose addresses it learns from control.
 func WithDiscovery() Option { return func(f *Follower) { f.discovery = true } }
 
+// Regulator admits calls by what control decides.
+type Regulator interface {
+	// Configure applies the rate limits of a document.
+	Configure(workspaces []validator.Workspace)
+	// Contact reports that the counts of this entry reach control.
+	Contact(entries int)
+	// Apply replaces all shares.
+	Apply(v messenger.AdmissionUpdate)
+}
+
+// WithRegulator sets the regulator that gets rate limits and shares.
+func WithRegulator(r Regulator) Option { return func(f *Follower) { f.regulator = r } }
+
+// noRegulator drops everything.
+type noRegulator struct{}
+
+func (noRegulator) Configure([]validator.Workspace) {}
+func (noRegulator) Contact(int)                     {}
+func (noRegulator) Apply(messenger.AdmissionUpdate) {}
+
 // Clock orders events across all processes by the stamps on their messages.
 type Clock interface {
 	Stamp() recorder.Stamp
@@ -82,6 +104,7 @@
 	f := &Follower{
 		now:         time.Now,
 		publish:     func(recorder.Event) {},
+		regulator:   noRegulator{},
 		clock:       clock,
 		dispatcher:  d,
 		ctx:         ctx,
@@ -138,6 +161,11 @@
 	f.handle(subscriber.PermitsWanted{Service: service, Wanted: wanted})
 }
 
+// ReportUsage sends what this entry has counted to control. If confirm is set, contact is confirmed soon.
+func (f *Follower) ReportUsage(report messenger.UsageReport, confirm bool) {
+	f.handle(subscriber.UsageCounted{Report: report, Confirm: confirm})
+}
+
 // Ready reports whether the entry has a configuration and, unless that is optional, holds its
 // configuration lease.
 func (f *Follower) Ready() bool {
@@ -204,13 +232,19 @@
 		case subscriber.Send:
 			f.queue(v.Message)
 		case subscriber.Configure:
+			f.regulator.Configure(v.Document.Workspaces)
 			f.dispatcher.Configure(v.Document)
+		case subscriber.UpdateAdmission:
+			f.regulator.Apply(v.Update)
 		case subscriber.Reconfigure:
 			f.dispatcher.Handle(v.Service, v.Reconfigure)
 		case subscriber.ChangeEndpoints:
 			f.dispatcher.Handle(v.Service, v.Changed)
 		case subscriber.RenewConfigLease:
 			f.dispatcher.RenewConfigLease(v.Until, v.Entries)
+			if v.Counted {
+				f.regulator.Contact(v.Entries)
+			}
 		case subscriber.Grant:
 			f.dispatcher.Handle(v.Service, v.Granted)
 		case subscriber.Decide:
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -23,6 +23,7 @@
 	"comfreyplank.org/entry/follower"
 	"comfreyplank.org/entry/keeper"
 	"comfreyplank.org/entry/receiver"
+	"comfreyplank.org/entry/regulator"
 	"comfreyplank.org/entry/server"
 	"comfreyplank.org/shell/completer"
 	"comfreyplank.org/shell/narrator"
@@ -89,6 +90,11 @@
 	return func(r *Runner) { r.followerOptions = append(r.followerOptions, opts...) }
 }
 
+// WithRegulatorOptions configures how the entry admits calls.
+func WithRegulatorOptions(opts ...regulator.Option) Option {
+	return func(r *Runner) { r.regulatorOptions = append(r.regulatorOptions, opts...) }
+}
+
 // WithTimelineCapacity sets how many events the timeline keeps.
 func WithTimelineCapacity(timelineCapacity int) Option {
 	return func(r *Runner) { r.timelineCapacity = timelineCapacity }
@@ -110,11 +116,13 @@
 	public           func(s *server.Server, calls http.Handler) http.Handler
 	extraListeners   []extraListener
 	followerOptions  []follower.Option
+	regulatorOptions []regulator.Option
 	publisher        *publisher.Publisher
 	narrator         *narrator.Narrator
 	timelineCapacity int
 	dispatcher       *dispatcher.Dispatcher
 	follower         *follower.Follower
+	regulator        *regulator.Regulator
 	server           *server.Server
 	// keeper keeps callers' connections open while requests on them are served.
 	keeper *keeper.Keeper
@@ -136,6 +144,11 @@
 	}
 	r.publisher = publisher.New(s.Name, r.timelineCapacity)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	metrics := counter.New(prometheus.DefaultRegisterer)
+	r.regulator = regulator.New(
+		func(report messenger.UsageReport, confirm bool) { r.follower.ReportUsage(report, confirm) },
+		append([]regulator.Option{regulator.WithPublish(r.publish), regulator.WithMetrics(metrics)}, r.regulatorOptions...)...,
+	)
 	deps := dispatcher.Dependencies{
 		Now:     time.Now,
 		Start:   r.group.Go,
@@ -144,13 +157,14 @@
 		RequestPermits: func(service string, wanted balancer.RequestPermits) {
 			r.follower.RequestPermits(service, wanted)
 		},
-		Counter: counter.New(prometheus.DefaultRegisterer),
+		Admission: r.regulator,
+		Counter:   metrics,
 	}
 	r.configure(&deps)
 	r.dispatcher = dispatcher.New(s.Name+"/"+uuid.NewString(), deps)
 	r.keeper = keeper.New(r.dispatcher.Timeouts)
 	hello := messenger.Hello{Entry: s.Name, DataCentre: s.DataCentre, Admin: s.Admin}
-	followerOptions := append([]follower.Option{follower.WithPublish(r.publish)}, r.followerOptions...)
+	followerOptions := append([]follower.Option{follower.WithPublish(r.publish), follower.WithRegulator(r.regulator)}, r.followerOptions...)
 	r.follower = follower.New(r.ctx, &r.group, hello, s.Control, r.dispatcher, r.publisher, followerOptions...)
 	r.server = server.New(r.follower, s.AnnounceKey)
 	return r
@@ -190,6 +204,7 @@
 	}
 	r.group.Go(func() { r.dispatcher.Run(r.ctx) })
 	r.group.Go(func() { r.follower.Run(r.ctx) })
+	r.group.Go(func() { r.regulator.Run(r.ctx) })
 	if r.narrator != nil {
 		r.group.Go(func() { r.narrator.Run(r.ctx) })
 	}
