--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -505,6 +505,13 @@
 	return d.stateMachine.EvacuatedCount()
 }
 
+// LimitedWorkspaces returns the number of workspaces that are at their rate limits.
+func (d *Driver) LimitedWorkspaces() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stateMachine.LimitedWorkspaces()
+}
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (d *Driver) Document() (uint64, validator.Document) {
 	d.mu.Lock()
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -33,6 +33,8 @@
 	Endpoints []registrar.Announcement `json:"endpoints"`
 	// Limits lists the limits that endpoints name, as this replica knows them.
 	Limits []LimitStatus `json:"limits,omitempty"`
+	// Admission lists the shares of calls that entries admit, as this replica knows them.
+	Admission []AdmissionStatus `json:"admission,omitempty"`
 	// PermitsIssued is the number of permits issued by this process.
 	PermitsIssued uint64 `json:"permits-issued"`
 }
@@ -95,6 +97,7 @@
 		ClaimsLog:           c.logStatus(&c.claims),
 		Endpoints:           c.registry.List(""),
 		PermitsIssued:       c.permits.Issued(),
+		Admission:           c.admissionStatuses(),
 	}
 	for _, l := range c.permits.Statuses() {
 		s.Limits = append(s.Limits, LimitStatus{
@@ -119,6 +122,9 @@
 // EvacuatedCount returns the number of evacuated data centres, as far as this replica knows.
 func (c *Controller) EvacuatedCount() int { return len(c.committer.Evacuated()) }
 
+// LimitedWorkspaces returns the number of workspaces that are at their rate limits.
+func (c *Controller) LimitedWorkspaces() int { return len(c.admission.latest.Workspaces) }
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (c *Controller) Document() (uint64, validator.Document) {
 	return c.committer.Revision(), c.committer.Document()
--- a/entry/dispatcher/credential.go
+++ b/entry/dispatcher/credential.go
@@ -78,10 +78,6 @@
 	return &translator.Refusal{Status: p.status, Outcome: balancer.OutcomeNotRun, Detail: p.detail, RetryAfter: p.retryAfter}
 }
 
-// admit decides whether a request may go on that has passed the stage of keys. Stages that limit rates and admit by
-// priority belong here; there are none yet. The workspace is nil for a request without one.
-func (d *Dispatcher) admit(_ *authenticator.Workspace, _ int) *translator.Refusal { return nil }
-
 // holdsConfigLease reports whether the entry holds its configuration lease, so that it knows the newest document.
 func (d *Dispatcher) holdsConfigLease() bool {
 	d.mu.RLock()
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -234,9 +234,6 @@
 		return
 	}
 	from, refusal := d.authenticate(r, config, match, standing)
-	if refusal == nil {
-		refusal = d.admit(from.workspace, from.priority)
-	}
 	if refusal != nil {
 		d.refuseWith(w, parsed.ID, *refusal)
 		return
@@ -275,6 +272,12 @@
 func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, match router.Match, parsed translator.Request, from sender) {
 	arrivedAt := d.deps.Now()
 	service := match.PickService(rand.Float64())
+	admitted, refusal := d.admit(from.name(), service, from.priority)
+	if refusal != nil {
+		refusal.Request = parsed.ID
+		d.deps.Callers.Refuse(w, *refusal)
+		return
+	}
 	s := d.serviceDispatcher(service)
 	call := balancer.Call{
 		Request:       parsed.ID,
@@ -290,6 +293,7 @@
 	if shutdown := d.shutdown.Load(); shutdown != nil {
 		by, ok := shutdown.Accepts(arrivedAt, call.Deadline)
 		if !ok {
+			admitted.giveBack(false)
 			d.refuse(w, parsed.ID, http.StatusServiceUnavailable, "this instance stops before the request's deadline")
 			return
 		}
@@ -297,6 +301,9 @@
 	}
 	request, problem := d.readWithinDeadline(r, &call, from)
 	if problem != nil {
+		if problem.Outcome == balancer.OutcomeNotRun {
+			admitted.giveBack(false)
+		}
 		problem.Request = parsed.ID
 		d.deps.Callers.Refuse(w, *problem)
 		return
@@ -309,6 +316,9 @@
 	defer s.removeCall(call.ID)
 	select {
 	case v := <-pending.result:
+		if v.refusal != nil && v.refusal.Outcome == balancer.OutcomeNotRun {
+			admitted.giveBack(v.refusal.Reason == balancer.ReasonOverload)
+		}
 		s.writeResult(w, r, v, parsed.ID)
 	case <-r.Context().Done():
 		s.handle(balancer.CallerDisconnected{Call: call.ID})
