--- a/control/main.go
+++ b/control/main.go
@@ -47,7 +47,7 @@
 	signal.Ignore(syscall.SIGHUP) // all settings are flags, there is nothing to reload
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := runner.New(settings.runner()).Run(stop); err != nil {
+	if err := runner.New(settings.runner(), settings.options()...).Run(stop); err != nil {
 		slog.Error("control failed", "error", err)
 		if errors.Is(err, journaler.ErrDamaged) {
 			slog.Error("while a majority of the other replicas is up, run control again with --set-aside-damaged, then start it as before: it joins as an empty replica", "data", settings.Data)
--- a/control/settings.go
+++ b/control/settings.go
@@ -5,7 +5,9 @@
 	"strings"
 	"time"
 
+	"comfreyplank.org/control/driver"
 	"comfreyplank.org/control/runner"
+	"comfreyplank.org/core/controller"
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/shell/configurer"
@@ -24,6 +26,7 @@
 	Grace       time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"6s" description:"longest time that a planned stop takes"`
 	OperatorKey string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
 	SetAside    bool               `long:"set-aside-damaged" description:"move the state of a damaged data folder to its subfolder \"damaged\" and exit; the next start joins as an empty replica. Only while a majority of the other replicas is up"`
+	Shed        bool               `long:"shed-by-priority" env:"COMFREYPLANK_SHED_BY_PRIORITY" description:"have entries refuse the least urgent calls while a service lacks room; set it at all entries and replicas"`
 	Logging     configurer.Logging `group:"Log"`
 }
 
@@ -73,6 +76,14 @@
 	return runner.Settings{Name: s.Name, Listen: s.Listen, Advertise: s.Advertise, Admin: s.Admin, Data: s.Data, Peers: s.members(), Grace: s.Grace, OperatorKey: s.OperatorKey}
 }
 
+// options returns the options of the replica that the flags ask for.
+func (s settings) options() []runner.Option {
+	if !s.Shed {
+		return nil
+	}
+	return []runner.Option{runner.WithDriverOptions(driver.WithControllerOptions(controller.WithShedding()))}
+}
+
 // members returns the peers as members of the replicated groups.
 func (s settings) members() []replicator.Member {
 	members := make([]replicator.Member, 0, len(s.Peers))
--- a/core/controller/admission.go
+++ b/core/controller/admission.go
@@ -10,6 +10,7 @@
 	"comfreyplank.org/core/ratelimiter"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/scheduler"
+	"comfreyplank.org/core/shedder"
 	"comfreyplank.org/core/validator"
 )
 
@@ -62,6 +63,13 @@
 	return func(c *Controller) { c.admission.newServices = newAdmitter }
 }
 
+// WithShedding has entries refuse the least urgent calls to a service while it has too little room.
+func WithShedding() Option {
+	return WithServiceAdmitter(func(now time.Time, inForce []messenger.ServiceAdmission) ServiceAdmitter {
+		return shedder.New(now, inForce)
+	})
+}
+
 // admission is what a replica knows of the calls that entries count, and of the shares that they admit.
 type admission struct {
 	// pending adds up the reports of this replica's entries until relayAt, at which they go to the leader. pendingSince
--- a/entry/main.go
+++ b/entry/main.go
@@ -32,7 +32,7 @@
 	signal.Ignore(syscall.SIGHUP) // all settings are flags, there is nothing to reload
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := runner.New(settings.runner()).Run(stop); err != nil {
+	if err := runner.New(settings.runner(), settings.options()...).Run(stop); err != nil {
 		slog.Error("entry failed", "error", err)
 		return 1
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"comfreyplank.org/core/admitter"
+	"comfreyplank.org/entry/regulator"
 	"comfreyplank.org/entry/runner"
 	"comfreyplank.org/shell/configurer"
 )
@@ -17,6 +19,7 @@
 	AnnounceKey    string             `long:"announce-key" env:"COMFREYPLANK_ANNOUNCE_KEY" description:"key that endpoints send with announcements; empty asks for none"`
 	ShutdownNotice time.Duration      `long:"notice" env:"COMFREYPLANK_NOTICE" default:"5s" description:"how long to serve on after a stop signal, until the platform's balancer has noticed"`
 	Grace          time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"10m" description:"longest wait for requests in flight when stopping"`
+	ShedByPriority bool               `long:"shed-by-priority" env:"COMFREYPLANK_SHED_BY_PRIORITY" description:"count calls by service and priority, so that control can have the least urgent ones refused while a service lacks room; set it at all entries and replicas"`
 	Logging        configurer.Logging `group:"Log"`
 }
 
@@ -35,6 +38,14 @@
 	}
 }
 
+// options returns the options of the entry that the flags ask for.
+func (s settings) options() []runner.Option {
+	if !s.ShedByPriority {
+		return nil
+	}
+	return []runner.Option{runner.WithRegulatorOptions(regulator.WithAdmitterOptions(admitter.WithServiceUsage()))}
+}
+
 func (s settings) validate() error {
 	var c configurer.Checker
 	c.Name("name", s.Name)
