Test rate limits under faults, at random, and against their alternatives

Nothing showed that the limits hold at 16, 140 and 313 entries and under faults. The simulation of replicas and entries now has workspaces, and checks the bound, the use of the limits, refusals below them, retry delays and messages.

--- a/core/admitter/workspace.go
+++ b/core/admitter/workspace.go
@@ -60,8 +60,10 @@
 
 // Bounds of retry delays.
 const (
-	// learnTime is the time from the end of a surge until entries have learned of it.
-	learnTime = 400 * time.Millisecond
+	// learnTime is the time from the end of a surge until control has counted it, and from a decision of control until
+	// entries apply it. demandTimes is how many times the average of the demand covers passes between.
+	learnTime   = 500 * time.Millisecond
+	demandTimes = 2
 	// settleTime is the time in which a workspace that has reached its limit makes up for the calls before.
 	settleTime    = time.Second
 	maxRetryAfter = 10 * time.Second
@@ -212,7 +214,7 @@
 // untilShare returns when a call is admitted if the workspace sends no more than its limit until then: the calls before
 // the limit was reached are made up for, there is a token again, and entries know. Draw spreads the callers.
 func (w *workspace) untilShare(now time.Time, draw float64) time.Duration {
-	wait := learnTime + max(0, settleTime-now.Sub(w.limitedSince)) + w.wait(1, w.rate)
+	wait := learnTime + demandTimes*ratelimiter.DemandTime(w.rate) + max(0, settleTime-now.Sub(w.limitedSince)) + w.wait(1, w.rate)
 	return min(wait+time.Duration(draw*float64(wait)/4), maxRetryAfter)
 }
 
--- a/core/controller/admission.go
+++ b/core/controller/admission.go
@@ -541,7 +541,7 @@
 
 // admissionStatuses returns the shares in force.
 func (c *Controller) admissionStatuses() []AdmissionStatus {
-	var list []AdmissionStatus
+	list := make([]AdmissionStatus, 0, len(c.admission.latest.Workspaces)+len(c.admission.latest.Services))
 	for _, w := range c.admission.latest.Workspaces {
 		list = append(list, AdmissionStatus{Workspace: w.Workspace, Share: w.Share})
 	}
--- a/core/controller/ratelimit_test.go
+++ b/core/controller/ratelimit_test.go
@@ -52,25 +52,25 @@
 	*simulation
 	workspaces []*limitedWorkspace
 	// skew is how unevenly calls are spread over entries: 1 spreads them evenly.
-	skew   float64
-	lookup map[string]*limitedWorkspace
-	calls  *rand.Rand
+	skew  float64
+	calls *rand.Rand
+	// retryPart is the part of refused callers that come back after the delay that they were told.
+	retryPart       float64
+	retries         []retry
+	retried, served int
+	// changes counts the documents.
+	changes int
+}
+
+// retry is a caller that comes back.
+type retry struct {
+	at time.Time
+	w  *limitedWorkspace
 }
 
 // startQuota returns a running system in which every workspace sends at its usual rate.
 func startQuota(t fatalReporter, replicas, entries int, seed uint64) *quotaSystem {
-	q := &quotaSystem{skew: 1.5, lookup: map[string]*limitedWorkspace{}, calls: rand.New(rand.NewPCG(seed, 11))}
-	sum := 0.0
-	for i := range workspaceCount {
-		sum += math.Pow(float64(i+1), -workspaceSkew)
-	}
-	for i := range workspaceCount {
-		usual := callsPerEntry * float64(entries) * math.Pow(float64(i+1), -workspaceSkew) / sum
-		w := &limitedWorkspace{name: fmt.Sprint("w", i), usual: usual, factor: 1, rate: limitHeadroom * usual, burst: limitHeadroom * usual}
-		w.previousRate, w.previousBurst = w.rate, w.burst
-		q.workspaces = append(q.workspaces, w)
-		q.lookup[w.name] = w
-	}
+	q := newQuotaWorkspaces(entries, seed)
 	s := newSimulation(t, replicas, 0, seed)
 	q.simulation = s
 	for i := range entries {
@@ -87,7 +87,8 @@
 // applyLimits applies a document with the present limits.
 func (q *quotaSystem) applyLimits() {
 	revision, _ := q.leader().stateMachine.Document()
-	doc := document(revision, fmt.Sprint("limits-", revision))
+	q.changes++
+	doc := document(revision, fmt.Sprint("limits-", q.changes))
 	for _, w := range q.workspaces {
 		doc.Workspaces = append(doc.Workspaces, validator.Workspace{Name: w.name, Keys: []string{"key-" + w.name}, RatePerSecond: w.rate, Burst: w.burst})
 	}
@@ -103,6 +104,7 @@
 				q.send(q.entries[i], w)
 			}
 		}
+		q.retryDue()
 		q.step()
 	}
 }
@@ -111,11 +113,31 @@
 	if !e.up || e.frozen {
 		return
 	}
-	if e.admitter.Admit(q.now, w.name, serviceName, 0).Verdict == admitter.Admitted {
+	d := e.admitter.Admit(q.now, w.name, serviceName, 0)
+	if d.Verdict == admitter.Admitted {
 		w.admitted = append(w.admitted, q.now)
 		return
 	}
 	w.refused = append(w.refused, q.now)
+	if q.calls.Float64() < q.retryPart {
+		q.retries = append(q.retries, retry{q.now.Add(d.RetryAfter), w})
+	}
+}
+
+// retryDue lets callers come back, to any entry, and counts those that are served.
+func (q *quotaSystem) retryDue() {
+	kept := q.retries[:0]
+	for _, r := range q.retries {
+		if r.at.After(q.now) {
+			kept = append(kept, r)
+			continue
+		}
+		q.retried++
+		before := len(r.w.admitted)
+		q.send(q.entries[q.calls.IntN(len(q.entries))], r.w)
+		q.served += len(r.w.admitted) - before
+	}
+	q.retries = kept
 }
 
 // poisson draws the number of events of a mean.
@@ -150,20 +172,17 @@
 	return worst
 }
 
-// checkQuota fails if a workspace has passed the bound, and returns the worst part of it that was used.
-func (q *quotaSystem) checkQuota() float64 {
-	worst := 0.0
+// checkQuota fails if a workspace has passed the bound.
+func (q *quotaSystem) checkQuota() {
 	for _, w := range q.workspaces {
 		most := w.most()
 		if most > 1 {
 			q.t.Fatalf("%s with a limit of %.1f calls a second has used %.2f of the bound in some %s", w.name, w.rate, most, quotaWindow)
 		}
-		worst = max(worst, most)
 	}
-	return worst
 }
 
-// after returns how many of the times lie between two.
+// between returns how many of the times lie between two.
 func between(times []time.Time, from, until time.Time) int {
 	n := 0
 	for _, at := range times {
@@ -203,7 +222,7 @@
 // feedbackTime is the time from a call until a share that counts it is in force.
 const feedbackTime = 500 * time.Millisecond
 
-// refusedCalls returns how many calls of all workspaces were refused below their limits.
+// refusedBelow returns how many calls of all workspaces were refused below their limits.
 func (q *quotaSystem) refusedBelow() int {
 	n := 0
 	for _, w := range q.workspaces {
@@ -232,19 +251,25 @@
 			q.run(4 * time.Second) // calls before the first share are made up for
 			from := q.now
 			q.usage = usageMessages{}
-			const measured = 12
-			q.run(measured * time.Second)
+			const measured = 20
+			const last = 100 * time.Millisecond // those refused earlier come back into the surge
+			q.run(measured*time.Second - last)
+			q.retryPart = 0.5
+			q.run(last)
+			q.retryPart = 0
 			used := float64(between(w.admitted, from, q.now)) / (w.rate * measured)
 			whole := float64(between(w.admitted, surge, q.now)) / (w.rate * q.now.Sub(surge).Seconds())
 			u := q.usage
 			w.factor = 1
-			q.run(6 * time.Second)
+			q.retried, q.served = 0, 0 // of those who come back after the surge
+			q.run(12 * time.Second)
 			below := q.refusedBelow()
-			t.Logf("| %d | %.1f | %.2f | %.2f | %.2f | %d | %.1f | %.1f | %.1f | %.1f |", tt.entries, w.rate, w.most(), whole, used, below,
-				float64(u.reports)/measured/float64(tt.entries), float64(u.relays)/measured, float64(u.updates)/measured/float64(tt.entries), float64(u.heartbeats)/measured/float64(tt.entries))
+			t.Logf("| %d | %.1f | %.2f | %.2f | %.2f | %d | %.1f | %.1f | %.1f | %.1f | %d of %d |", tt.entries, w.rate, w.most(), whole, used, below,
+				float64(u.reports)/measured/float64(tt.entries), float64(u.relays)/measured, float64(u.updates)/measured/float64(tt.entries), float64(u.heartbeats)/measured/float64(tt.entries), q.served, q.retried)
 			q.checkQuota()
 			assert.Check(t, used*w.rate*measured >= math.Floor(0.95*w.rate*measured), "%.3f of the limit used", used)
 			assert.Check(t, below == 0, "%d calls refused below the limit", below)
+			assert.Check(t, float64(q.served) >= 0.95*float64(q.retried)-1, "%d of %d callers served after the delay that they were told", q.served, q.retried)
 		})
 	}
 }
@@ -453,6 +478,12 @@
 	})
 }
 
+// hasNewer reports whether a replica has a newer document than that of a revision.
+func hasNewer(c *replica, revision uint64) bool {
+	present, _ := c.stateMachine.Document()
+	return present > revision
+}
+
 func (q *quotaSystem) randomEvent(rt *rapid.T) {
 	w := q.workspaces[rapid.IntRange(0, workspaceCount-1).Draw(rt, "workspace")]
 	e := q.entries[rapid.IntRange(0, len(q.entries)-1).Draw(rt, "entry")]
@@ -465,8 +496,13 @@
 	case 3:
 		if q.leader() != nil && q.now.Sub(w.since) > quotaWindow+recovery {
 			factor := rapid.Float64Range(0.2, 2).Draw(rt, "limit")
+			revision, _ := q.leader().stateMachine.Document()
 			q.setLimit(w, w.rate*factor, w.burst*factor)
 			q.applyLimits()
+			q.run(500 * time.Millisecond)
+			if c := q.leader(); c == nil || !hasNewer(c, revision) {
+				w.rate, w.burst = max(w.rate, w.previousRate), max(w.burst, w.previousBurst) // not accepted, or not yet
+			}
 		}
 	case 4:
 		q.crashEntry(e)
--- a/core/ratelimiter/ratelimiter.go
+++ b/core/ratelimiter/ratelimiter.go
@@ -245,23 +245,6 @@
 	return shares
 }
 
-// Status is the state of a workspace that is limited.
-type Status struct {
-	Workspace string
-	Share     float64
-	// Demand is the number of calls a second that entries admit or refuse.
-	Demand float64
-}
-
-// Statuses returns the states of the workspaces that are limited, ordered by name.
-func (l *Limiter) Statuses() []Status {
-	var list []Status
-	for _, s := range l.list() {
-		list = append(list, Status{Workspace: s.Workspace, Share: s.Share, Demand: l.buckets[s.Workspace].demand})
-	}
-	return list
-}
-
 // maxDebt returns how many tokens can lack.
 func (b *bucket) maxDebt() float64 {
 	return b.rate*maxDebtTime.Seconds() + Tolerance(b.rate, b.burst)
@@ -286,14 +269,14 @@
 // usable returns the rate at which calls are admitted.
 func (b *bucket) usable() float64 { return b.rate * (1 - b.reserved) }
 
-// demandTime returns the time over which demand is averaged.
-func (b *bucket) demandTime() time.Duration {
-	return min(max(time.Duration(demandCalls/b.rate*float64(time.Second)), minDemandTime), maxDemandTime)
+// DemandTime returns the time over which the demand of a workspace with a rate limit is averaged.
+func DemandTime(rate float64) time.Duration {
+	return min(max(time.Duration(demandCalls/rate*float64(time.Second)), minDemandTime), maxDemandTime)
 }
 
 // addDemand adds calls of a span of time to the average. Those of a long span count less, as they decay within it.
 func (b *bucket) addDemand(now time.Time, span time.Duration, calls float64) {
-	average := b.demandTime().Seconds()
+	average := DemandTime(b.rate).Seconds()
 	weight := 1.0
 	if relative := span.Seconds() / average; relative > 0 {
 		weight = -math.Expm1(-relative) / relative
@@ -303,7 +286,7 @@
 }
 
 func (b *bucket) demandNow(now time.Time) float64 {
-	return b.demand * math.Exp(-now.Sub(b.demandAt).Seconds()/b.demandTime().Seconds())
+	return b.demand * math.Exp(-now.Sub(b.demandAt).Seconds()/DemandTime(b.rate).Seconds())
 }
 
 // decide sets the share, and reports whether it has changed. A new leader raises no share before it has settled.
--- a/core/ratelimiter/ratelimiter_test.go
+++ b/core/ratelimiter/ratelimiter_test.go
@@ -16,9 +16,9 @@
 	return []validator.Workspace{{Name: "w", RatePerSecond: rate, Burst: burst}, {Name: "unlimited"}}
 }
 
-// settled returns a limiter that has been leading for a while.
-func settled(rate, burst float64) (*Limiter, time.Time) {
-	l := New(epoch, 0, workspaces(rate, burst), nil)
+// settled returns a limiter with a limit of 100 a second that has been leading for a while.
+func settled(burst float64) (*Limiter, time.Time) {
+	l := New(epoch, 0, workspaces(100, burst), nil)
 	l.Shares(epoch)
 	now := epoch.Add(time.Minute)
 	l.Shares(now)
@@ -64,7 +64,7 @@
 		{"far above", 1000, 20, true},
 	}
 	for _, tt := range tests {
-		l, now := settled(100, 100)
+		l, now := settled(100)
 		n, shares := send(l, now, time.Duration(tt.seconds*float64(time.Second)), tt.rate)
 		assert.Equal(t, len(shares) > 0, tt.limited, tt.name)
 		if tt.limited {
@@ -77,7 +77,7 @@
 // TestLimitEndsWithTheDemand guards against a share that stays in force, and against a leader that has something to do
 // for idle workspaces.
 func TestLimitEndsWithTheDemand(t *testing.T) {
-	l, now := settled(100, 100)
+	l, now := settled(100)
 	send(l, now, 5*time.Second, 500)
 	assert.Assert(t, l.Due())
 	now = now.Add(5 * time.Second)
@@ -111,7 +111,7 @@
 // TestDocumentChangesLimits guards against a lower limit that does not bind, a share of a limit that has ended, and a new
 // limit that refuses a first burst.
 func TestDocumentChangesLimits(t *testing.T) {
-	l, now := settled(100, 100)
+	l, now := settled(100)
 	send(l, now, 5*time.Second, 200)
 	now = now.Add(5 * time.Second)
 	l.Configure(now, workspaces(20, 20))
@@ -129,7 +129,7 @@
 
 // TestReservedPartIsKept guards against a leader that gives all of a limit to the entries that it can count.
 func TestReservedPartIsKept(t *testing.T) {
-	l, now := settled(100, 0)
+	l, now := settled(0)
 	l.Reserve(now, 0.25)
 	n, _ := send(l, now, 20*time.Second, 500)
 	assert.Assert(t, n >= 0.95*1500 && n <= 1500+2*Tolerance(100, 0), "%.0f admitted", n)
--- a/entry/dispatcher/admission.go
+++ b/entry/dispatcher/admission.go
@@ -35,6 +35,13 @@
 	c.admission.GiveBack(c.workspace, c.service, c.priority, overloaded)
 }
 
+// end gives the call back if a refusal tells that it has not run.
+func (c admittedCall) end(refusal *balancer.Refuse) {
+	if refusal != nil && refusal.Outcome == balancer.OutcomeNotRun {
+		c.giveBack(refusal.Reason == balancer.ReasonOverload)
+	}
+}
+
 // admit is the stage of rate limits and admission by priority. It returns a refusal if the call is beyond them.
 func (d *Dispatcher) admit(workspace, service string, priority int) (admittedCall, *translator.Refusal) {
 	decision := d.deps.Admission.Admit(workspace, service, priority)
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -284,9 +284,7 @@
 	defer s.removeCall(call.ID)
 	select {
 	case v := <-pending.result:
-		if v.refusal != nil && v.refusal.Outcome == balancer.OutcomeNotRun {
-			admitted.giveBack(v.refusal.Reason == balancer.ReasonOverload)
-		}
+		admitted.end(v.refusal)
 		s.writeResult(w, r, v, parsed.ID)
 	case <-r.Context().Done():
 		s.handle(balancer.CallerDisconnected{Call: call.ID})
