--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -225,8 +225,11 @@
 	ws := a.workspaces[workspace]
 	if ws != nil {
 		if d := a.limit(now, ws); d.Verdict != Admitted {
-			ws.refused++
-			a.wantReport(now)
+			// Without contact the entry refuses on its own: a new leader would take the counts for those of a share.
+			if a.inContact(now) {
+				ws.refused++
+				a.wantReport(now)
+			}
 			return d
 		}
 	}
@@ -234,7 +237,7 @@
 		return d
 	}
 	if ws != nil {
-		ws.admit()
+		ws.admit(now)
 		a.wantReport(now)
 	}
 	return Decision{}
--- a/core/admitter/workspace.go
+++ b/core/admitter/workspace.go
@@ -41,21 +41,19 @@
 	limitOvershoot = 0.1
 	limitSlack     = 20
 	localPart      = 0.9
-	// spareRate is the part of the rate limit that entries may use locally beyond their usual rates: the limit is
-	// typically 1.6 times the usual rate, and chance needs some room.
-	spareRate = 0.3
-	// localDebtTime bounds how long a workspace is refused locally because of what it sent before.
-	localDebtTime = 2 * time.Second
+	// spareRate is the part of the rate limit that entries may use locally beyond their usual rates: a caller may
+	// come to an entry that it hasn't used before.
+	spareRate = 0.15
+	// maxLocalCalls bounds the calls whose times an entry keeps for a workspace. One that sends more within
+	// limitWindow through one entry has a steady rate there.
+	maxLocalCalls = 64
 	// usualSlot is the time over which calls are counted for the usual rate, and usualWeight the weight of a new count.
 	usualSlot   = 2 * time.Second
 	usualWeight = 0.25
-	// surgeRates is the highest demand that is expected, in multiples of the limit: 8 times the usual rate. Where an
-	// entry expects less than one call of a workspace in limitWindow even then, it can't tell a surge from usual
-	// calls, and admits a part of them that keeps the limit in a surge.
-	surgeRates = 5
-	surgePart  = 0.85
-	// unusualLevel is the level below which an entry requires a recent contact with control.
-	unusualLevel = -1
+	// unusualPart is the part of its local limit that a workspace must have used for the entry to require a recent
+	// contact with control, and minUnusualCalls the least number of calls for that.
+	unusualPart     = 0.7
+	minUnusualCalls = 2
 )
 
 // Bounds of retry delays.
@@ -85,11 +83,12 @@
 	usual     float64
 	slotStart time.Time
 	slotCount int
-	// level is a token bucket with this entry's part of the limit. It is always counted, but applied only without
-	// contact with control. cap is its size; spare is this entry's part of spareRate.
-	level, cap, spare float64
-	// surge is the part of the calls that is admitted although the level does not suffice; see surgeRates.
-	surge float64
+	// recent holds the times of the calls admitted within limitWindow, oldest first, at most maxLocalCalls. They are
+	// always counted, but limited only without contact with control.
+	recent []time.Time
+	// allowed is how many calls of the workspace all entries may admit in a limitWindow, and spare this entry's part of
+	// spareRate.
+	allowed, spare float64
 
 	admitted, refused int
 }
@@ -107,17 +106,8 @@
 		w.tokens = most
 	}
 	w.tokens = min(w.tokens, most)
-	allowed := (rate*limitWindow.Seconds()+burst)*(1+limitOvershoot) + limitSlack
-	w.cap = max(0, localPart*allowed-rate*limitWindow.Seconds()) / float64(entries)
+	w.allowed = (rate*limitWindow.Seconds()+burst)*(1+limitOvershoot) + limitSlack
 	w.spare = spareRate * rate / float64(entries)
-	w.surge = 0
-	if surge := surgeRates * rate * limitWindow.Seconds(); surge < float64(entries) {
-		w.surge = min(1, surgePart*allowed/surge)
-	}
-	if isNew {
-		w.level = w.cap
-	}
-	w.level = min(w.level, w.cap)
 }
 
 func (w *workspace) mostTokens() float64 {
@@ -132,7 +122,7 @@
 	}
 	w.at = now
 	w.tokens = min(w.tokens+elapsed*w.rate, w.mostTokens())
-	w.level = min(w.level+elapsed*w.localRate(), w.cap)
+	w.dropOld(now)
 	if since := now.Sub(w.slotStart); since >= usualSlot && inContact {
 		w.endSlot(since)
 		w.slotStart = now
@@ -168,12 +158,30 @@
 	return w.usual + w.spare
 }
 
+// dropOld forgets the calls that were admitted before the limitWindow that ends now.
+func (w *workspace) dropOld(now time.Time) {
+	n := 0
+	for n < len(w.recent) && now.Sub(w.recent[n]) >= limitWindow {
+		n++
+	}
+	w.recent = w.recent[:copy(w.recent, w.recent[n:])]
+}
+
+// localLimit returns how many calls this entry may admit in a limitWindow without contact with control: its part of
+// what all entries may admit, in proportion to its usual rate. The part of a call is one that is admitted by chance.
+func (w *workspace) localLimit() float64 {
+	return localPart * w.allowed * w.localRate() / w.rate
+}
+
 // admit counts an admitted call.
-func (w *workspace) admit() {
+func (w *workspace) admit(now time.Time) {
 	w.admitted++
 	w.slotCount++
 	w.tokens--
-	w.level = max(w.level-1, -1-localDebtTime.Seconds()*w.localRate())
+	if len(w.recent) == maxLocalCalls {
+		w.recent = w.recent[:copy(w.recent, w.recent[1:])]
+	}
+	w.recent = append(w.recent, now)
 }
 
 // giveBack counts an admitted call that has not run.
@@ -181,28 +189,35 @@
 	w.admitted--
 	w.slotCount = max(0, w.slotCount-1)
 	w.tokens = min(w.tokens+1, w.mostTokens())
-	w.level = min(w.level+1, w.cap)
+	w.recent = w.recent[:max(0, len(w.recent)-1)]
 }
 
-// isUnusual reports whether the workspace has sent clearly more than its part.
-func (w *workspace) isUnusual() bool { return w.level <= unusualLevel }
+// isUnusual reports whether the workspace has used most of its local limit.
+func (w *workspace) isUnusual() bool {
+	return float64(len(w.recent)) >= max(minUnusualCalls, unusualPart*w.localLimit())
+}
 
-// allowsLocally reports whether the local limit admits a call. A part of a token admits that part of the calls.
+// allowsLocally reports whether the local limit admits a call. Draw decides on a call of which a part is allowed.
 func (w *workspace) allowsLocally(draw float64) bool {
-	switch {
-	case w.level >= 1:
-		return true
-	case w.level <= unusualLevel/2:
-		return false
+	limit := w.localLimit()
+	if limit > maxLocalCalls {
+		// The times of so many calls aren't kept: the rate of those that are is limited instead.
+		span := limitWindow.Seconds() * maxLocalCalls / limit
+		return len(w.recent) < maxLocalCalls || w.at.Sub(w.recent[0]).Seconds() >= span
 	}
-	return draw < max(w.level, w.surge)
+	return draw < limit-float64(len(w.recent))
 }
 
 // untilToken returns when the bucket of the whole limit has a token.
 func (w *workspace) untilToken() time.Duration { return w.wait(1-w.tokens, w.rate) }
 
 // untilUsual returns when the local limit has a token.
-func (w *workspace) untilUsual() time.Duration { return w.wait(1-w.level, w.localRate()) }
+func (w *workspace) untilUsual() time.Duration {
+	if len(w.recent) == 0 {
+		return w.wait(1, w.localRate())
+	}
+	return max(w.recent[0].Add(limitWindow).Sub(w.at), time.Millisecond)
+}
 
 func (w *workspace) wait(tokens, rate float64) time.Duration {
 	if tokens >= maxRetryAfter.Seconds()*rate {
