--- a/core/admitter/workspace.go
+++ b/core/admitter/workspace.go
@@ -50,9 +50,8 @@
 	// usualSlot is the time over which calls are counted for the usual rate, and usualWeight the weight of a new count.
 	usualSlot   = 2 * time.Second
 	usualWeight = 0.25
-	// unusualPart is the part of its local limit that a workspace must have used for the entry to require a recent
-	// contact with control, and minUnusualCalls the least number of calls for that.
-	unusualPart     = 0.7
+	// minUnusualCalls is the least number of calls in limitWindow for which an entry requires a recent contact with
+	// control: with fewer, no surge can be told from usual calls.
 	minUnusualCalls = 2
 )
 
@@ -192,9 +191,9 @@
 	w.recent = w.recent[:max(0, len(w.recent)-1)]
 }
 
-// isUnusual reports whether the workspace has used most of its local limit.
+// isUnusual reports whether the local limit would refuse a further call.
 func (w *workspace) isUnusual() bool {
-	return float64(len(w.recent)) >= max(minUnusualCalls, unusualPart*w.localLimit())
+	return float64(len(w.recent)+1) > max(minUnusualCalls, w.localLimit())
 }
 
 // allowsLocally reports whether the local limit admits a call. Draw decides on a call of which a part is allowed.
