--- a/core/controller/admission.go
+++ b/core/controller/admission.go
@@ -127,8 +127,10 @@
 	seen usageSum
 }
 
+// newAdmission returns the state of a replica that starts. It doesn't know when there was last a leader: where all
+// replicas restart, the first counts are those of a time without one.
 func newAdmission(now time.Time) admission {
-	return admission{pending: newUsageSum(), relayed: newUsageSum(), relayedAt: now}
+	return admission{pending: newUsageSum(), relayed: newUsageSum(), relayedAt: now.Add(-maxUsageAge)}
 }
 
 // usageSum adds up reports.
