--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -19,7 +19,7 @@
 	ReportInterval = 200 * time.Millisecond
 	// contactTimeout is the time after the last contact with control after which each workspace is limited locally. It
 	// is longer than the interval of heartbeats and a slow round trip.
-	contactTimeout = 1100 * time.Millisecond
+	contactTimeout = 1600 * time.Millisecond
 	// confirmTimeout replaces it while a workspace sends much more than usual: the entry then asks for contact with its
 	// next report.
 	confirmTimeout = 400 * time.Millisecond
