Add the key lease: when an entry may send attempts of calls with keys

An entry that control can't reach goes on with the keys that it knows, for as long as it likes. The balancer sends no attempt of a call that needs the lease without it. Nothing requires the lease yet.

--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -57,7 +57,7 @@
 	if status != 502 && status != 503 && status != 504 {
 		return false
 	}
-	if c.disconnected || len(c.liveAttempts) > 1 || !mayRepeat(c, retrier.ProofNone) {
+	if c.disconnected || len(c.liveAttempts) > 1 || !mayRepeat(c, retrier.ProofNone) || b.lacksKeyLease(now, c) {
 		return false
 	}
 	if !b.hasAvailableEndpoint(now, c) || !b.budget.Spend(now) {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -67,6 +67,8 @@
 	Workspace string
 	// Priority is that of the workspace or the route. The lowest value is the most urgent.
 	Priority int
+	// NeedsKeyLease is set if an attempt may be sent only under the key lease.
+	NeedsKeyLease bool
 	// Key and Fingerprint are set for once-only requests.
 	Key         string
 	Fingerprint string
@@ -121,6 +123,8 @@
 	lastAttempt AttemptID
 	// configLeaseUntil is when the configuration lease expires, unless it is renewed.
 	configLeaseUntil time.Time
+	// keyLeaseUntil is when the key lease expires, unless it is renewed; zero without one.
+	keyLeaseUntil time.Time
 	// quantile estimates the latency that most responses stay below.
 	quantile quantile
 	entries  int
@@ -219,6 +223,7 @@
 		b.onEndpointsChanged(now, v)
 	case ConfigLeaseChanged:
 		b.setKnownEntries(v.Entries)
+		b.keyLeaseUntil = v.KeyLeaseUntil
 		b.onConfigLeaseChanged(now, v.Until)
 	case ShareGranted:
 		b.prober.Grant(now, v.Share, v.Until)
@@ -257,6 +262,12 @@
 // configuration is known to be up to date.
 func (b *Balancer) holdsConfigLease(now time.Time) bool { return now.Before(b.configLeaseUntil) }
 
+// lacksKeyLease reports whether an attempt of the call must not be sent now: the key by which it came may not be valid
+// any more.
+func (b *Balancer) lacksKeyLease(now time.Time, c *call) bool {
+	return c.NeedsKeyLease && !now.Before(b.keyLeaseUntil)
+}
+
 func (b *Balancer) emit(a Action) { b.actions = append(b.actions, a) }
 
 func (b *Balancer) record(kind recorder.Kind, c *call, e *endpoint, detail string) {
--- a/core/balancer/call.go
+++ b/core/balancer/call.go
@@ -134,6 +134,10 @@
 // start uses a permit for a call, or samples endpoints for it. It starts the call without sampling when others are
 // queued, or when sampling is not possible.
 func (b *Balancer) start(now time.Time, c *call) {
+	if b.lacksKeyLease(now, c) {
+		b.refuse(now, c, ReasonNoKeyLease)
+		return
+	}
 	if b.queue.Len() > 0 {
 		b.wantPermit(now, c)
 	} else if b.usePermit(now, c) || b.seekPermit(now, c) {
@@ -190,6 +194,8 @@
 		case !ok:
 		case late:
 			b.refuse(now, c, ReasonDeadline)
+		case b.lacksKeyLease(now, c):
+			b.refuse(now, c, ReasonNoKeyLease)
 		case b.attempt(now, c):
 		case !b.hasUntriedEndpoint(now, c) || !b.enqueue(now, c):
 			b.refuse(now, c, c.reason())
@@ -317,7 +323,7 @@
 	} else if at := a.sentAt.Add(suspectAfter); at.Before(c.Deadline) {
 		b.schedule(at, c.ID, timerHedge)
 	}
-	if len(c.liveAttempts) > 1 || c.disconnected || !b.mayHedge(c) {
+	if len(c.liveAttempts) > 1 || c.disconnected || !b.mayHedge(c) || b.lacksKeyLease(now, c) {
 		return
 	}
 	if !unresponsive && b.picker.Utilisation() > maxHedgePressure {
@@ -394,8 +400,11 @@
 // retryAfter returns a random delay, so that callers that are refused together don't retry
 // together. Zero leaves the delay to the protocol.
 func (b *Balancer) retryAfter(now time.Time, c *call, reason Reason) time.Duration {
-	if reason == ReasonLimit {
+	switch reason {
+	case ReasonLimit:
 		return b.permitRetryAfter(now, c)
+	case ReasonNoKeyLease:
+		return RetryAfter // no other endpoint helps, and another entry may be in contact
 	}
 	if earliest := b.earliestReturn(now); !earliest.IsZero() && !b.anyEndpointAccepts(now) {
 		return b.pauseRetryAfter(now, c, earliest)
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -100,11 +100,14 @@
 		b.record(recorder.KindAttemptRetried, c, a.endpoint, string(c.lastFailure))
 		return
 	}
+	if b.lacksKeyLease(now, c) && !c.mayHaveRun {
+		c.lastFailure = ReasonNoKeyLease
+	}
 	b.refuse(now, c, c.lastFailure)
 }
 
 func (b *Balancer) retry(now time.Time, c *call, proof retrier.Proof) bool {
-	if c.disconnected || !now.Before(c.Deadline) || !mayRepeat(c, proof) {
+	if c.disconnected || !now.Before(c.Deadline) || !mayRepeat(c, proof) || b.lacksKeyLease(now, c) {
 		return false
 	}
 	if !b.hasUntriedEndpoint(now, c) || !b.budget.Spend(now) {
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -112,6 +112,9 @@
 // ConfigLeaseChanged renews or ends the configuration lease of the entry.
 type ConfigLeaseChanged struct {
 	Until time.Time
+	// KeyLeaseUntil is the end of the key lease, which is renewed together with the configuration lease; zero without
+	// one.
+	KeyLeaseUntil time.Time
 	// Entries is the number of entries that control knows; zero when unknown.
 	Entries int
 }
--- a/core/balancer/reason.go
+++ b/core/balancer/reason.go
@@ -10,6 +10,7 @@
 	ReasonQueueFull         Reason = "too many calls are waiting"
 	ReasonDeadline          Reason = "the deadline can't be met"
 	ReasonNoConfigLease     Reason = "this instance can't reach a majority of the control replicas"
+	ReasonNoKeyLease        Reason = "this instance can't tell whether the key is still valid"
 	ReasonClaimFailed       Reason = "the claim on the key could not be made"
 	ReasonKeyTooOld         Reason = "the key is older than keys are kept"
 	ReasonKeyFuture         Reason = "the key's time lies in the future"
--- a/core/balancer/sampling.go
+++ b/core/balancer/sampling.go
@@ -246,6 +246,10 @@
 // refuses it. Without a reply it probes other endpoints.
 func (b *Balancer) endSampling(now time.Time, c *call) {
 	c.phase = phaseNew
+	if b.lacksKeyLease(now, c) {
+		b.refuse(now, c, ReasonNoKeyLease)
+		return
+	}
 	best, estimate := b.bestSample(now, c)
 	if best == nil {
 		b.resample(now, c)
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -134,7 +134,9 @@
 
 // RenewConfigLease extends the configuration lease in every balancer.
 type RenewConfigLease struct {
-	Until time.Time
+	// SentAt is when the heartbeat was sent that renewed the lease.
+	SentAt time.Time
+	Until  time.Time
 	// Entries is the number of entries that control knows; zero when unknown.
 	Entries int
 }
@@ -423,7 +425,7 @@
 	s.laggingReplicas = 0
 	s.failedStreams = 0
 	s.configLeaseUntil = sentAt.Add(messenger.ConfigLeaseDuration)
-	s.emit(RenewConfigLease{Until: s.configLeaseUntil, Entries: v.Entries})
+	s.emit(RenewConfigLease{SentAt: sentAt, Until: s.configLeaseUntil, Entries: v.Entries})
 	if !s.configLeaseHeld {
 		s.configLeaseHeld = true
 		s.record(recorder.KindConfigLeaseChanged, fmt.Sprintf("in standing at revision %d", s.revision))
