Grant leases only by what has been applied, and not by contacts from before a suspension

It now remembers the last contact up to which it has applied everything. After a suspension its clock made old contacts seem recent; the driver notices it, and the state machine forgets them. Random histories check that no call with a removed key runs late and that no lease is granted too late; the simulation has frozen and suspended replicas, and slow disks.

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -13,11 +13,13 @@
 
 	"comfreyplank.org/control/journaler"
 	"comfreyplank.org/core/controller"
+	"comfreyplank.org/core/fencer"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/core/validator"
+	"comfreyplank.org/shell/timekeeper"
 	"comfreyplank.org/shell/waker"
 )
 
@@ -30,11 +32,15 @@
 
 // Driver runs the state machine of one replica.
 type Driver struct {
-	publish  func(recorder.Event)
-	time     func(request string, duration time.Duration)
-	clock    Clock
-	peers    *peers
-	journals map[messenger.Group]*journalWriter
+	publish func(recorder.Event)
+	time    func(request string, duration time.Duration)
+	clock   Clock
+	// suspended measures for how long the machine has been suspended, and suspendedBefore is what the state machine
+	// knows of it.
+	suspended       func() time.Duration
+	suspendedBefore time.Duration
+	peers           *peers
+	journals        map[messenger.Group]*journalWriter
 	// latestEndpoints and latestCommitted hold the latest values that are not yet stored.
 	latestEndpoints chan []registrar.Announcement
 	latestCommitted chan replicator.Position
@@ -81,6 +87,7 @@
 type options struct {
 	time       func(request string, duration time.Duration)
 	publish    func(recorder.Event)
+	suspended  func() time.Duration
 	controller []controller.Option
 }
 
@@ -105,10 +112,15 @@
 	return func(o *options) { o.publish = publish }
 }
 
+// WithSuspended replaces the measurement of the time for which the machine has been suspended.
+func WithSuspended(suspended func() time.Duration) Option {
+	return func(o *options) { o.suspended = suspended }
+}
+
 // New locks and reads the data folder, and restores the state machine from it. The goroutines
 // that Run starts for streams to other replicas belong to group.
 func New(group *sync.WaitGroup, clock Clock, folder, name, address string, opts ...Option) (*Driver, error) {
-	o := options{publish: func(recorder.Event) {}, time: func(string, time.Duration) {}}
+	o := options{publish: func(recorder.Event) {}, time: func(string, time.Duration) {}, suspended: timekeeper.New().Suspended}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -119,6 +131,7 @@
 	d := &Driver{
 		publish:          o.publish,
 		time:             o.time,
+		suspended:        o.suspended,
 		clock:            clock,
 		journals:         make(map[messenger.Group]*journalWriter),
 		latestEndpoints:  make(chan []registrar.Announcement, 1),
@@ -245,12 +258,24 @@
 // step passes an input to the state machine, executes the resulting actions and sets the timer.
 // The caller must hold d.mu.
 func (d *Driver) step(in controller.Input) {
+	d.noticeSuspension()
 	d.execute(d.stateMachine.Handle(time.Now(), in))
 	if d.waker != nil {
 		d.waker.Set(d.stateMachine.Due())
 	}
 }
 
+// noticeSuspension tells the state machine that the machine was suspended, before anything that arrives afterwards.
+func (d *Driver) noticeSuspension() {
+	suspended := d.suspended()
+	if suspended <= d.suspendedBefore+fencer.Tolerance {
+		return
+	}
+	slog.Warn("the machine was suspended", "duration", suspended-d.suspendedBefore)
+	d.suspendedBefore = suspended
+	d.execute(d.stateMachine.Handle(time.Now(), controller.Resumed{}))
+}
+
 func (d *Driver) execute(actions []controller.Action) {
 	for _, a := range actions {
 		switch v := a.(type) {
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -58,6 +58,9 @@
 	joinOnly bool
 	// allowColdStart is set if entries may start with the state that a replica has stored.
 	allowColdStart bool
+	// upToDateAt is a time at which this replica was in contact with a quorum, and since when it has applied all that had
+	// been committed by then; zero without one.
+	upToDateAt time.Time
 	// hadQuorumContact is set once this process has been in contact with a quorum, and stays set.
 	hadQuorumContact bool
 	// targetVoters is the intended number of voters; zero keeps every replica that ever joined.
@@ -325,6 +328,8 @@
 		c.onAnnounce(now, v)
 	case ReadDocument:
 		c.startRead(now, pendingRead{request: v.Request})
+	case Resumed:
+		c.onResumed(now)
 	case TransferLeadership:
 		c.transferLeadership(now)
 	}
@@ -332,6 +337,13 @@
 	return c.actions
 }
 
+// onResumed forgets all contact from before a suspension: by the clock, it may seem recent.
+func (c *Controller) onResumed(now time.Time) {
+	c.upToDateAt = time.Time{}
+	c.config.replica.Resume(now)
+	c.claims.replica.Resume(now)
+}
+
 func (c *Controller) tick(now time.Time) {
 	c.lastTick = now
 	c.config.replica.Tick(now)
@@ -374,4 +386,18 @@
 	return !at.IsZero() && now.Sub(at) <= QuorumTimeout
 }
 
+// noteUpToDate takes the last contact with a quorum as the time up to which this replica knows everything, if it has
+// applied all entries that it knows as committed. It applies them only after it has synced those that came with them.
+func (c *Controller) noteUpToDate() {
+	if c.config.applied >= c.config.replica.Commit() {
+		c.upToDateAt = c.config.replica.LastQuorumContact()
+	}
+}
+
+// mayGrantLeases reports whether this replica knows everything that was committed within QuorumTimeout, so that the
+// entries at its revision are up to date.
+func (c *Controller) mayGrantLeases(now time.Time) bool {
+	return c.inContactWithQuorum(now) && !c.upToDateAt.IsZero() && now.Sub(c.upToDateAt) <= QuorumTimeout
+}
+
 func (c *Controller) isLeader() bool { return c.config.replica.Role() == replicator.RoleLeader }
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -42,6 +42,7 @@
 		}
 		c.compact(g)
 	}
+	c.noteUpToDate()
 	c.recordLeaderChange()
 	c.noteMemberChange(now)
 }
--- a/core/controller/input.go
+++ b/core/controller/input.go
@@ -63,6 +63,9 @@
 	Request uint64
 }
 
+// Resumed reports that the machine was suspended. The clock by which times are measured stood still meanwhile.
+type Resumed struct{}
+
 // TransferLeadership requests that this replica hand leadership over before a planned stop.
 type TransferLeadership struct{}
 
@@ -74,4 +77,5 @@
 func (Apply) input()              {}
 func (Announce) input()           {}
 func (ReadDocument) input()       {}
+func (Resumed) input()            {}
 func (TransferLeadership) input() {}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -180,7 +180,7 @@
 func (c *Controller) onHeartbeat(now time.Time, conn Conn, e *entry, b messenger.Heartbeat) {
 	e.revision = b.Revision
 	e.leaving = b.Leaving
-	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.inContactWithQuorum(now)
+	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.mayGrantLeases(now)
 	reply := messenger.HeartbeatReply{Sequence: b.Sequence, ConfigLease: holdsLease, Entries: c.entryCount(now)}
 	if holdsLease {
 		e.configLeaseUntil = now.Add(messenger.ConfigLeaseDuration)
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -12,6 +12,7 @@
 	"comfreyplank.org/core/allotter"
 	"comfreyplank.org/core/balancer"
 	"comfreyplank.org/core/controller"
+	"comfreyplank.org/core/fencer"
 	"comfreyplank.org/core/messenger"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
@@ -48,6 +49,12 @@
 	inFlight  []delivery
 	// balancerOptions are used for the balancers of entries that start.
 	balancerOptions []balancer.Option
+	// keyLease is the duration of the key lease; zero if calls need none. onDispatch is called for each attempt, if it
+	// is set.
+	keyLease   time.Duration
+	onDispatch func(e *simEntry, d balancer.Dispatch)
+	// onGrant is called when a replica grants a configuration lease, if it is set.
+	onGrant func(c *replica)
 
 	lastRequest  uint64
 	applied      map[uint64]validator.Document
@@ -101,6 +108,11 @@
 	starts    int
 	// ticks counts the Tick inputs.
 	ticks int
+	// frozen replicas handle nothing until they are awake again. suspended is for how long the clock of the machine stood
+	// still, and diskUntil when its disk syncs again.
+	frozen    bool
+	suspended time.Duration
+	diskUntil time.Time
 	// removed is set for a replica that never starts again.
 	removed bool
 	// joinOnly is set for a replica that is started later. Its settings list peers.
@@ -133,10 +145,19 @@
 	known map[string]uint64
 	// disruptedAt is when the entry was last started, frozen or cut off.
 	disruptedAt time.Time
-	// frozen entries handle nothing until they are awake again.
-	frozen bool
+	// frozen entries handle nothing until they are awake again. suspended is for how long the clock of the machine stood
+	// still.
+	frozen    bool
+	suspended time.Duration
+	// fence is the key lease, toldLease what the balancer knows of it, and knownKeys the keys of the document in effect.
+	fence     fencer.Fencer
+	toldLease balancer.ConfigLeaseChanged
+	knownKeys []string
 }
 
+// clock returns the time by the monotonic clock of a machine that was suspended for a while.
+func (s *simulation) clock(suspended time.Duration) time.Time { return s.now.Add(-suspended) }
+
 // backend is a simulated endpoint.
 type backend struct {
 	name      string
@@ -231,7 +252,7 @@
 		opts = append(opts, controller.WithoutBootstrap())
 	}
 	disk.Endpoints = c.endpoints
-	c.stateMachine, err = controller.New(s.now, self, disk, opts...)
+	c.stateMachine, err = controller.New(s.clock(c.suspended), self, disk, opts...)
 	if err != nil {
 		s.t.Fatalf("%v", err)
 	}
@@ -239,6 +260,7 @@
 
 func (s *simulation) crash(c *replica) {
 	c.up = false
+	c.frozen = false
 	for _, e := range s.entries {
 		if e.connectedTo == c {
 			s.closeStream(e)
@@ -257,6 +279,9 @@
 	e.disruptedAt = s.now
 	e.heard = heardWishes{}
 	e.known = map[string]uint64{}
+	e.fence = fencer.New(s.keyLease)
+	e.toldLease = balancer.ConfigLeaseChanged{}
+	e.knownKeys = nil
 	var addresses []string
 	for _, c := range s.replicas {
 		addresses = append(addresses, c.name)
@@ -291,7 +316,8 @@
 }
 
 func (s *simulation) isFrozen(name string) bool {
-	return slices.ContainsFunc(s.entries, func(e *simEntry) bool { return e.frozen && e.name == name })
+	return slices.ContainsFunc(s.entries, func(e *simEntry) bool { return e.frozen && e.name == name }) ||
+		slices.ContainsFunc(s.replicas, func(c *replica) bool { return c.frozen && c.name == name })
 }
 
 func (s *simulation) step() {
@@ -307,7 +333,7 @@
 		}
 	}
 	for _, c := range s.replicas {
-		if c.up {
+		if c.up && !c.frozen {
 			s.tickReplicaIfDue(c)
 		}
 	}
@@ -324,7 +350,7 @@
 
 // tickReplicaIfDue sends a Tick to a replica that is due.
 func (s *simulation) tickReplicaIfDue(c *replica) {
-	if isDue(s.now, c.stateMachine.Due()) {
+	if isDue(s.clock(c.suspended), c.stateMachine.Due()) {
 		c.ticks++
 		s.handle(c, controller.Tick{})
 	}
@@ -332,10 +358,10 @@
 
 // tickEntryIfDue sends a Tick to the state machines of an entry that are due.
 func (s *simulation) tickEntryIfDue(e *simEntry) {
-	if isDue(s.now, e.stateMachine.Due()) {
+	if isDue(s.clock(e.suspended), e.stateMachine.Due()) {
 		s.handleEntry(e, subscriber.Tick{Leaving: e.balancer.Leaving()})
 	}
-	if isDue(s.now, e.balancer.Due()) {
+	if isDue(s.clock(e.suspended), e.balancer.Due()) {
 		s.handleBalancer(e, balancer.Tick{})
 	}
 }
@@ -367,7 +393,7 @@
 }
 
 func (s *simulation) handle(c *replica, in controller.Input) {
-	for _, a := range slices.Clone(c.stateMachine.Handle(s.now, in)) {
+	for _, a := range slices.Clone(c.stateMachine.Handle(s.clock(c.suspended), in)) {
 		s.execute(c, a)
 	}
 }
@@ -390,6 +416,9 @@
 				s.handle(c, controller.Persisted(v))
 			}
 		})
+		if last := &s.inFlight[len(s.inFlight)-1]; last.at.Before(c.diskUntil) {
+			last.at = c.diskUntil
+		}
 	case controller.StoreSnapshot:
 		disk := c.disk[v.Group]
 		disk.Snapshot = v.Snapshot
@@ -444,6 +473,9 @@
 }
 
 func (s *simulation) sendEntry(c *replica, v controller.SendEntry) {
+	if reply, ok := v.Message.(messenger.HeartbeatReply); ok && reply.ConfigLease && s.onGrant != nil {
+		s.onGrant(c)
+	}
 	for _, e := range s.entries {
 		if e.up && e.connectedTo == c && connOf(e) == v.Conn {
 			s.deliverLater(c.name, e.name, true, func() {
@@ -468,7 +500,8 @@
 }
 
 func (s *simulation) handleEntry(e *simEntry, in subscriber.Input) {
-	for _, a := range slices.Clone(e.stateMachine.Handle(s.now, in)) {
+	e.fence = e.fence.Observed(s.clock(e.suspended), e.suspended)
+	for _, a := range slices.Clone(e.stateMachine.Handle(s.clock(e.suspended), in)) {
 		s.executeEntry(e, a)
 	}
 }
@@ -486,6 +519,7 @@
 			s.t.Fatalf("%s went from revision %d to %d", e.name, e.revision, v.Revision)
 		}
 		e.revision = v.Revision
+		e.knownKeys = keysOf(v.Document)
 	case subscriber.Reconfigure:
 		e.learn(v.Reconfigure.Endpoints)
 		s.handleBalancer(e, v.Reconfigure)
@@ -493,6 +527,7 @@
 		e.learn(v.Changed.Changed)
 		s.handleBalancer(e, v.Changed)
 	case subscriber.RenewConfigLease:
+		e.fence = e.fence.Renewed(v.SentAt)
 		s.handleBalancer(e, balancer.ConfigLeaseChanged{Until: v.Until, Entries: v.Entries})
 	case subscriber.Grant:
 		e.shareGrants = []balancer.ShareGranted{v.Granted}
@@ -549,7 +584,30 @@
 }
 
 func (s *simulation) handleBalancer(e *simEntry, in balancer.Input) {
-	for _, a := range slices.Clone(e.balancer.Handle(s.now, in)) {
+	if s.keyLease != 0 {
+		in = s.updateKeyLease(e, in)
+	}
+	s.stepBalancer(e, in)
+}
+
+// updateKeyLease tells the balancer the end of the key lease before an input, as the dispatcher does.
+func (s *simulation) updateKeyLease(e *simEntry, in balancer.Input) balancer.Input {
+	e.fence = e.fence.Observed(s.clock(e.suspended), e.suspended)
+	until := e.fence.Until()
+	if changed, ok := in.(balancer.ConfigLeaseChanged); ok {
+		changed.KeyLeaseUntil = until
+		e.toldLease = changed
+		return changed
+	}
+	if !until.Equal(e.toldLease.KeyLeaseUntil) {
+		e.toldLease.KeyLeaseUntil = until
+		s.stepBalancer(e, e.toldLease)
+	}
+	return in
+}
+
+func (s *simulation) stepBalancer(e *simEntry, in balancer.Input) {
+	for _, a := range slices.Clone(e.balancer.Handle(s.clock(e.suspended), in)) {
 		switch v := a.(type) {
 		case balancer.Dispatch:
 			s.dispatch(e, v)
@@ -574,6 +632,9 @@
 	if !b.drainedAt.IsZero() && s.now.Sub(b.drainedAt) > maxDrainDelay {
 		s.t.Fatalf("%s got a new request %s after it announced its departure", b.name, s.now.Sub(b.drainedAt))
 	}
+	if s.onDispatch != nil {
+		s.onDispatch(e, d)
+	}
 	b.arrivals = append(b.arrivals, arrival{at: s.now, from: e, told: e.bound(s.now, b.name), excused: s.isExcused(e)})
 	ending, starts, incarnation := b.outcome, e.starts, b.incarnation
 	known := e.known[b.name] == b.incarnation // otherwise the entry takes it for the one before
@@ -702,6 +763,9 @@
 func (s *simulation) checkInvariants() {
 	var granted allotter.Share
 	for _, e := range s.entries {
+		if e.suspended > 0 {
+			continue // its clock can't tell that its leases have ended; the key lease is fenced
+		}
 		if e.up && e.stateMachine.HoldsConfigLease(s.now) && e.revision < s.revisionInEffect {
 			s.t.Fatalf("%s holds its configuration lease at revision %d, but revision %d is in effect everywhere", e.name, e.revision, s.revisionInEffect)
 		}
@@ -718,7 +782,7 @@
 
 func (s *simulation) leader() *replica {
 	for _, c := range s.replicas {
-		if c.up && c.stateMachine.Status(s.now).Role == "leader" && c.stateMachine.Status(s.now).InContactWithQuorum {
+		if c.up && c.stateMachine.Status(s.clock(c.suspended)).Role == "leader" && c.stateMachine.Status(s.clock(c.suspended)).InContactWithQuorum {
 			return c
 		}
 	}
