Bind removed keys: serve keys under the key lease where the platform asks for it

Public routes, documents without workspaces and settings without the bound are not affected, and cost the same.

--- a/core/authenticator/authenticator.go
+++ b/core/authenticator/authenticator.go
@@ -28,6 +28,8 @@
 // Workspace is a workspace as requests need it.
 type Workspace struct {
 	Name string
+	// Names holds the name alone, as the values of a header field. It must not be changed.
+	Names []string
 	// priority replaces that of the route; nil if the document sets none.
 	priority *int
 }
@@ -56,7 +58,7 @@
 	}
 	a.holders = make(map[[sha256.Size]byte]*Workspace)
 	for _, w := range doc.Workspaces {
-		holder := &Workspace{Name: w.Name, priority: w.Priority}
+		holder := &Workspace{Name: w.Name, Names: []string{w.Name}, priority: w.Priority}
 		for _, key := range w.Keys {
 			a.holders[digest(key)] = holder
 		}
--- a/entry/dispatcher/credential.go
+++ b/entry/dispatcher/credential.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"comfreyplank.org/core/authenticator"
@@ -19,6 +20,8 @@
 	// reserved is set if the document lists workspaces: the header fields of keys and workspaces are then the
 	// system's own.
 	reserved bool
+	// needsKeyLease is set if the request may run only under the key lease.
+	needsKeyLease bool
 }
 
 // name returns the name of the sender's workspace; empty without one.
@@ -43,13 +46,13 @@
 	problemKeyMissing     = keyProblem{reason: "missing", status: http.StatusUnauthorized, detail: "the request needs a key"}
 	problemKeyAmbiguous   = keyProblem{reason: "repeated", status: http.StatusBadRequest, detail: "the request has more than one key"}
 	problemKeyUnknown     = keyProblem{reason: "unknown", status: http.StatusUnauthorized, detail: "the key is not valid"}
+	problemKeyLease       = keyProblem{reason: "lease", status: http.StatusServiceUnavailable, detail: string(balancer.ReasonNoKeyLease), retryAfter: balancer.RetryAfter}
 	problemKeyUnconfirmed = keyProblem{reason: "unconfirmed", status: http.StatusServiceUnavailable, detail: "this instance can't tell whether the key is new", retryAfter: balancer.RetryAfter}
 )
 
 // authenticate decides by its key whether a request may go on, and who has sent it. It never guesses: what is not
-// exactly one key of a workspace is refused. Without standing, which is the configuration lease, the entry is not sure to
-// know the newest document.
-func (d *Dispatcher) authenticate(r *http.Request, config *activeConfig, match router.Match, standing bool) (sender, *translator.Refusal) {
+// exactly one key of a workspace is refused. Without its leases, the entry is not sure to know the newest document.
+func (d *Dispatcher) authenticate(r *http.Request, config *activeConfig, match router.Match, held leases) (sender, *translator.Refusal) {
 	from := sender{priority: match.Route.Priority}
 	if !config.authenticator.Enabled() {
 		return from, nil
@@ -58,6 +61,10 @@
 	workspace, verdict := config.authenticator.Authenticate(r.Header[d.deps.Callers.KeyHeader], match.Route.Public)
 	switch verdict {
 	case authenticator.VerdictKnown:
+		from.needsKeyLease = d.fence.required && !match.Route.Public
+		if from.needsKeyLease && !held.key {
+			return from, d.refuseKey(problemKeyLease)
+		}
 		from.workspace = workspace
 		from.priority = workspace.Priority(from.priority)
 	case authenticator.VerdictMissing:
@@ -65,7 +72,7 @@
 	case authenticator.VerdictAmbiguous:
 		return from, d.refuseKey(problemKeyAmbiguous)
 	case authenticator.VerdictUnknown:
-		if !standing { // a newer document may have the key
+		if !held.config || !held.key { // a newer document may have the key
 			return from, d.refuseKey(problemKeyUnconfirmed)
 		}
 		return from, d.refuseKey(problemKeyUnknown)
@@ -82,43 +89,42 @@
 // priority belong here; there are none yet. The workspace is nil for a request without one.
 func (d *Dispatcher) admit(_ *authenticator.Workspace, _ int) *translator.Refusal { return nil }
 
-// holdsConfigLease reports whether the entry holds its configuration lease, so that it knows the newest document.
-func (d *Dispatcher) holdsConfigLease() bool {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.deps.Now().Before(d.configLease.Until)
-}
+// leases tells which leases the entry holds. The key lease counts as held while none is required.
+type leases struct{ config, key bool }
 
-// removeFields removes header fields in every spelling that an endpoint may take for one of the names: endpoints that
-// pass fields in variables don't tell dashes from underscores.
-func removeFields(h http.Header, names ...string) {
-	for field := range h {
-		for _, name := range names {
-			if sameField(field, name) {
-				delete(h, field)
-			}
-		}
+// heldLeases returns the leases that the entry holds now.
+func (d *Dispatcher) heldLeases() leases {
+	held := leases{key: true}
+	var now time.Time
+	if d.fence.required {
+		var end time.Time
+		end, now = d.fence.measure()
+		held.key = now.Before(end)
+	} else {
+		now = d.deps.Now()
 	}
+	end := d.configLeaseUntil.Load()
+	held.config = end != nil && now.Before(*end)
+	return held
 }
 
-func sameField(a, b string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range len(a) {
-		if foldByte(a[i]) != foldByte(b[i]) {
-			return false
+// spellings returns the canonical header fields that an endpoint may take for the given one: endpoints that pass fields
+// in variables don't tell dashes from underscores. The server brings the fields of requests into canonical form.
+func spellings(field string) []string {
+	all := []string{""}
+	for part := range strings.SplitSeq(field, "-") {
+		next := make([]string, 0, 2*len(all))
+		for _, beginning := range all {
+			if beginning == "" {
+				next = append(next, part)
+				continue
+			}
+			next = append(next, beginning+"-"+part, beginning+"_"+part)
 		}
+		all = next
 	}
-	return true
-}
-
-func foldByte(c byte) byte {
-	switch {
-	case 'A' <= c && c <= 'Z':
-		return c + ('a' - 'A')
-	case c == '_':
-		return '-'
+	for i := range all {
+		all[i] = http.CanonicalHeaderKey(all[i])
 	}
-	return c
+	return all
 }
--- a/entry/dispatcher/credential_test.go
+++ b/entry/dispatcher/credential_test.go
@@ -202,7 +202,7 @@
 	var got headerLog
 	f := newFixture(t, got.start(t))
 	f.configureKeys(testWorkspaces())
-	f.RenewConfigLease(time.Now().Add(-time.Millisecond), 1)
+	f.RenewConfigLease(time.Now(), time.Now().Add(-time.Millisecond), 1)
 	response, text := f.send("GET /x HTTP/1.1\r\nHost: h\r\nComfreyplank-Key: key-cedar\r\n\r\n")
 	assert.Equal(t, response.StatusCode, 503, text)
 	assert.Equal(t, response.Header.Get("Retry-After"), "1")
@@ -210,7 +210,7 @@
 	assert.Equal(t, response.StatusCode, 401) // a request without a key stays refused
 	_, requests := got.take()
 	assert.Equal(t, requests, 0)
-	f.RenewConfigLease(time.Now().Add(time.Hour), 1)
+	f.RenewConfigLease(time.Now(), time.Now().Add(time.Hour), 1)
 	response, _ = f.send("GET /x HTTP/1.1\r\nHost: h\r\nComfreyplank-Key: key-cedar\r\n\r\n")
 	assert.Equal(t, response.StatusCode, 401)
 }
@@ -362,3 +362,13 @@
 	assert.Equal(t, refused.Load(), int32(workspaces))
 	assert.Equal(t, wrong.Load(), int32(0))
 }
+
+// TestSpellingsOfReservedFields guards against a spelling by which an endpoint gets a workspace from a caller.
+func TestSpellingsOfReservedFields(t *testing.T) {
+	assert.DeepEqual(t, spellings("X-Credential"), []string{"X-Credential", "X_credential"})
+	all := spellings("X-Tenant-Id")
+	for _, spelling := range []string{"x-tenant-id", "X_TENANT_ID", "X-Tenant_Id", "x_tenant-ID"} {
+		assert.Assert(t, slices.Contains(all, http.CanonicalHeaderKey(spelling)), spelling)
+	}
+	assert.Equal(t, len(all), 4)
+}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -38,6 +38,9 @@
 	// handler serves requests whose bodies have an owner.
 	handler      http.Handler
 	activeConfig atomic.Pointer[activeConfig]
+	fence        *fence
+	// reservedFields are the header fields that endpoints don't get as a caller sent them.
+	reservedFields []string
 	// started is when the process started. configured is closed when the first document is
 	// applied.
 	started        time.Time
@@ -50,6 +53,8 @@
 	dispatchers map[string]*serviceDispatcher
 	// configLease is the state of the configuration lease, for the balancers of new services.
 	configLease balancer.ConfigLeaseChanged
+	// configLeaseUntil is its end, for requests; nil before the first one.
+	configLeaseUntil atomic.Pointer[time.Time]
 }
 
 // activeConfig is the part of the document in effect that new requests need.
@@ -64,6 +69,8 @@
 func New(incarnation string, deps Dependencies) *Dispatcher {
 	d := &Dispatcher{incarnation: incarnation, deps: deps.withDefaults(), dispatchers: make(map[string]*serviceDispatcher), configured: make(chan struct{})}
 	d.started = d.deps.Now()
+	d.fence = newFence(d.deps)
+	d.reservedFields = append(spellings(d.deps.Callers.KeyHeader), spellings(d.deps.Callers.WorkspaceHeader)...)
 	d.handler = receiver.Handler(http.HandlerFunc(d.serveRequest))
 	return d
 }
@@ -75,8 +82,8 @@
 	d.mu.Lock()
 	for _, service := range doc.Services {
 		if d.dispatchers[service.Name] == nil {
-			s := newServiceDispatcher(d.incarnation, service, d.deps)
-			s.handle(d.configLease)
+			s := newServiceDispatcher(d.incarnation, service, d.deps, d.fence)
+			s.renewLeases(d.configLease)
 			d.dispatchers[service.Name] = s
 		}
 	}
@@ -134,17 +141,22 @@
 	}
 }
 
-// RenewConfigLease sets the end of the configuration lease in every balancer.
-// Entries is the number of entries that control knows.
-func (d *Dispatcher) RenewConfigLease(configLeaseUntil time.Time, entries int) {
+// RenewConfigLease sets the end of the configuration lease and of the key lease in every balancer. The heartbeat that
+// renewed them was sent at sentAt. Entries is the number of entries that control knows.
+func (d *Dispatcher) RenewConfigLease(sentAt, configLeaseUntil time.Time, entries int) {
+	d.fence.renew(sentAt)
+	changed := balancer.ConfigLeaseChanged{Until: configLeaseUntil, Entries: entries} // each service adds the key lease
 	d.mu.Lock()
-	d.configLease = balancer.ConfigLeaseChanged{Until: configLeaseUntil, Entries: entries}
+	d.configLease = changed
 	d.mu.Unlock()
-	d.forEachService(func(s *serviceDispatcher) {
-		s.handle(balancer.ConfigLeaseChanged{Until: configLeaseUntil, Entries: entries})
-	})
+	d.configLeaseUntil.Store(&configLeaseUntil)
+	d.forEachService(func(s *serviceDispatcher) { s.renewLeases(changed) })
 }
 
+// NoticeSuspension measures whether the machine has been suspended, so that a heartbeat that is sent afterwards counts
+// as sent after the suspension.
+func (d *Dispatcher) NoticeSuspension() { _ = d.fence.until() }
+
 func (d *Dispatcher) serviceDispatcher(service string) *serviceDispatcher {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -210,10 +222,10 @@
 		})
 		return
 	}
-	standing := false
+	var held leases
 	if config.authenticator.Enabled() {
-		// The lease comes first, so that it holds for the document that is used.
-		standing = d.holdsConfigLease()
+		// The leases come first, so that they hold for the document that is used.
+		held = d.heldLeases()
 		config = d.activeConfig.Load()
 	}
 	match, ok := config.router.Match(r.Host, routedPath(r))
@@ -221,7 +233,7 @@
 		d.refuse(w, parsed.ID, http.StatusNotFound, "no route leads there")
 		return
 	}
-	from, refusal := d.authenticate(r, config, match, standing)
+	from, refusal := d.authenticate(r, config, match, held)
 	if refusal == nil {
 		refusal = d.admit(from.workspace, from.priority)
 	}
@@ -274,6 +286,7 @@
 		LatencyTarget: time.Duration(match.Route.LatencyTargetMs) * time.Millisecond,
 		Workspace:     from.name(),
 		Priority:      from.priority,
+		NeedsKeyLease: from.needsKeyLease,
 	}
 	if shutdown := d.shutdown.Load(); shutdown != nil {
 		by, ok := shutdown.Accepts(arrivedAt, call.Deadline)
@@ -292,7 +305,7 @@
 	if request.Stream != nil {
 		defer d.recordCutBody(request.Stream, service, parsed.ID)
 	}
-	pending := &pendingCall{request: request, arrivedAt: arrivedAt, result: make(chan callResult, 1)}
+	pending := &pendingCall{request: request, arrivedAt: arrivedAt, hadBody: receiver.BodyOf(r) != nil, result: make(chan callResult, 1)}
 	call.ID = s.addCall(call, pending)
 	defer s.removeCall(call.ID)
 	select {
@@ -375,10 +388,12 @@
 		h["User-Agent"] = nil // keeps the transport from adding its own
 	}
 	if from.reserved {
-		removeFields(h, d.deps.Callers.KeyHeader, d.deps.Callers.WorkspaceHeader)
+		for _, field := range d.reservedFields {
+			delete(h, field)
+		}
 	}
 	if from.workspace != nil {
-		h[d.deps.Callers.WorkspaceHeader] = []string{from.workspace.Name}
+		h[d.deps.Callers.WorkspaceHeader] = from.workspace.Names
 	}
 	d.deps.Callers.PrepareForward(h, r, id)
 	return h
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -54,16 +54,21 @@
 }
 
 func newFixture(t testing.TB, endpoints ...string) *fixture {
+	return newFixtureWith(t, func(*Dependencies) {}, endpoints...)
+}
+
+// newFixtureWith returns a dispatcher whose dependencies are changed.
+func newFixtureWith(t testing.TB, configure func(*Dependencies), endpoints ...string) *fixture {
 	f := &fixture{t: t, claimer: claimer.New()}
-	f.Dispatcher = New("entry", Dependencies{
-		Now: time.Now, Start: f.group.Go, Publish: f.publish, Claim: f.claim, Counter: noCounter{},
-	})
+	deps := Dependencies{Now: time.Now, Start: f.group.Go, Publish: f.publish, Claim: f.claim, Counter: noCounter{}}
+	configure(&deps)
+	f.Dispatcher = New("entry", deps)
 	service := validator.Service{Name: "s", QueueLimit: 10, RetryPercent: 100, Routes: []validator.Route{
 		{PathPrefix: "/", DeadlineMs: 5000, Class: validator.ClassInteractive},
 		{PathPrefix: "/once", DeadlineMs: 5000, Class: validator.ClassInteractive, Execution: validator.ExecutionOnceOnly},
 	}}
 	f.Configure(validator.Document{Services: []validator.Service{service}})
-	f.RenewConfigLease(time.Now().Add(time.Hour), 1)
+	f.RenewConfigLease(time.Now(), time.Now().Add(time.Hour), 1)
 	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: endpointsAt(endpoints), Entries: 1})
 	f.server = startServer(f.Dispatcher)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/dispatcher/lane.go
+++ b/entry/dispatcher/lane.go
@@ -29,6 +29,10 @@
 	Claim func(service string, call balancer.CallID, command claimer.Command)
 	// RequestPermits tells control of an endpoint's limit and asks for permits.
 	RequestPermits func(service string, wanted balancer.RequestPermits)
+	// KeyLease is for how long after a heartbeat of this entry, to which a replica replied, requests run by keys; zero
+	// sets no bound. Suspended returns for how long the machine has been suspended; it is needed with a KeyLease.
+	KeyLease  time.Duration
+	Suspended func() time.Duration
 	// Counter records the metrics of all services.
 	Counter Metrics
 	// Callers and Endpoints are the protocols; if unset, the product's own are used.
@@ -82,6 +86,8 @@
 type pendingCall struct {
 	request   forwarder.Request
 	arrivedAt time.Time
+	// hadBody is set if the request had a body, for which the entry may have waited.
+	hadBody bool
 	// result receives exactly one value.
 	result chan callResult
 }
@@ -104,6 +110,7 @@
 type serviceDispatcher struct {
 	service   string
 	deps      Dependencies
+	fence     *fence
 	forwarder *forwarder.Forwarder
 
 	mu           sync.Mutex
@@ -117,12 +124,15 @@
 	waker *waker.Waker
 	// limitCounts are the counts of the balancer that the metrics include.
 	limitCounts balancer.LimitCounts
+	// configLease is the last state of the leases that the balancer was told.
+	configLease balancer.ConfigLeaseChanged
 }
 
-func newServiceDispatcher(incarnation string, service validator.Service, deps Dependencies) *serviceDispatcher {
+func newServiceDispatcher(incarnation string, service validator.Service, deps Dependencies, f *fence) *serviceDispatcher {
 	s := &serviceDispatcher{
 		service:      service.Name,
 		deps:         deps,
+		fence:        f,
 		forwarder:    forwarder.New(deps.Now, deps.Endpoints, deps.Inbound),
 		stateMachine: balancer.New(incarnation, service, deps.BalancerOptions()...),
 		calls:        make(map[balancer.CallID]*pendingCall),
@@ -151,11 +161,37 @@
 
 // step passes an input to the balancer, executes its actions and sets the timer.
 func (s *serviceDispatcher) step(in balancer.Input) {
+	if s.fence.required && len(s.calls) > 0 {
+		s.updateKeyLease(s.fence.until())
+	}
+	s.handleInput(in)
+}
+
+// handleInput is step without a measurement of suspensions.
+func (s *serviceDispatcher) handleInput(in balancer.Input) {
 	s.execute(s.stateMachine.Handle(s.deps.Now(), in))
 	s.waker.Set(s.stateMachine.Due())
 	s.countLimits()
 }
 
+// renewLeases passes a renewal of the configuration lease to the balancer, with the end of the key lease.
+func (s *serviceDispatcher) renewLeases(changed balancer.ConfigLeaseChanged) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed.KeyLeaseUntil = s.fence.until()
+	s.configLease = changed
+	s.step(changed)
+}
+
+// updateKeyLease tells the balancer the end of the key lease, if it has changed, before an input that may let it send
+// an attempt: a suspension may have ended the lease.
+func (s *serviceDispatcher) updateKeyLease(until time.Time) {
+	if !until.Equal(s.configLease.KeyLeaseUntil) {
+		s.configLease.KeyLeaseUntil = until
+		s.execute(s.stateMachine.Handle(s.deps.Now(), s.configLease))
+	}
+}
+
 // countLimits adds what the balancer has counted since the last time to the metrics.
 func (s *serviceDispatcher) countLimits() {
 	counts := s.stateMachine.LimitCounts()
@@ -172,14 +208,22 @@
 	s.step(in)
 }
 
-// addCall registers a new call and passes it to the balancer.
+// addCall registers a new call and passes it to the balancer. A call without a body that is alone needs no measurement
+// of suspensions: there was one as its header was read.
 func (s *serviceDispatcher) addCall(c balancer.Call, pending *pendingCall) balancer.CallID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastCallID++
 	c.ID = s.lastCallID
 	s.calls[c.ID] = pending
-	s.step(balancer.CallArrived{Call: c})
+	if pending.hadBody || len(s.calls) > 1 {
+		s.step(balancer.CallArrived{Call: c})
+		return c.ID
+	}
+	if c.NeedsKeyLease {
+		s.updateKeyLease(s.fence.known())
+	}
+	s.handleInput(balancer.CallArrived{Call: c})
 	return c.ID
 }
 
@@ -194,6 +238,9 @@
 			s.deliver(v.Call, callResult{replay: &v.Response})
 		case balancer.Refuse:
 			s.deps.Counter.Refused(s.service, v.Outcome)
+			if v.Reason == balancer.ReasonNoKeyLease {
+				s.deps.Counter.KeyRefused(problemKeyLease.reason)
+			}
 			s.deliver(v.Call, callResult{refusal: &v})
 		case balancer.Cancel:
 			if t := s.attempts[v.Attempt]; t != nil {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -180,6 +180,7 @@
 
 // step passes an input to the subscriber, executes its actions and sets the timer.
 func (f *Follower) step(in subscriber.Input) {
+	f.dispatcher.NoticeSuspension()
 	f.execute(f.stateMachine.Handle(f.now(), in))
 	f.waker.Set(f.stateMachine.Due())
 }
@@ -210,7 +211,7 @@
 		case subscriber.ChangeEndpoints:
 			f.dispatcher.Handle(v.Service, v.Changed)
 		case subscriber.RenewConfigLease:
-			f.dispatcher.RenewConfigLease(v.Until, v.Entries)
+			f.dispatcher.RenewConfigLease(v.SentAt, v.Until, v.Entries)
 		case subscriber.Grant:
 			f.dispatcher.Handle(v.Service, v.Granted)
 		case subscriber.Decide:
