--- a/core/controller/input.go
+++ b/core/controller/input.go
@@ -79,6 +79,9 @@
 	Request uint64
 }
 
+// Resumed reports that the machine was suspended. The clock by which times are measured stood still meanwhile.
+type Resumed struct{}
+
 // TransferLeadership requests that this replica hand leadership over before a planned stop.
 type TransferLeadership struct{}
 
@@ -91,4 +94,5 @@
 func (Evacuate) input()           {}
 func (Announce) input()           {}
 func (ReadDocument) input()       {}
+func (Resumed) input()            {}
 func (TransferLeadership) input() {}
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -189,7 +189,7 @@
 	e.revision = b.Revision
 	e.heardAt = now
 	e.leaving = b.Leaving
-	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.inContactWithQuorum(now)
+	holdsLease := e.confirmed && e.revision == c.committer.Revision() && c.mayGrantLeases(now)
 	reply := messenger.HeartbeatReply{Sequence: b.Sequence, ConfigLease: holdsLease, Entries: c.entryCount(now)}
 	if c.hasRateLimits() && !c.hasLeaderContact(now) {
 		reply.Entries = 0 // tells the entry to limit workspaces on its own
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -142,7 +142,9 @@
 
 // RenewConfigLease extends the configuration lease in every balancer.
 type RenewConfigLease struct {
-	Until time.Time
+	// SentAt is when the heartbeat was sent that renewed the lease.
+	SentAt time.Time
+	Until  time.Time
 	// Entries is the number of entries that control knows; zero when unknown.
 	Entries int
 	// Counted is set if the calls that this entry counts reach the leader.
@@ -469,7 +471,7 @@
 	if v.Entries > 0 {
 		s.entries = v.Entries
 	}
-	s.emit(RenewConfigLease{Until: s.configLeaseUntil, Entries: s.entries, Counted: v.Entries > 0})
+	s.emit(RenewConfigLease{SentAt: sentAt, Until: s.configLeaseUntil, Entries: s.entries, Counted: v.Entries > 0})
 	if !s.configLeaseHeld {
 		s.configLeaseHeld = true
 		s.record(recorder.KindConfigLeaseChanged, fmt.Sprintf("in standing at revision %d", s.revision))
