Keep the rate of endpoints in warm-up over all entries

An endpoint in warm-up crashes if it gets more than the document's rate, and no entry sees more than its own requests. Such an endpoint needs permits now, as one with a limit does: the lower of the two rates applies, and neither statement ends the other. Entries learn of a warm-up from announcements, replies to probes and responses; they tell the remaining time with each request for permits. A change between warm and cold is passed on as a change, and the remaining time is counted from the arrival.

The tests of load headers expect the new field of the report in addition.

--- a/control/counter/counter.go
+++ b/control/counter/counter.go
@@ -51,6 +51,13 @@
 	}, func() float64 { return float64(observe()) }))
 }
 
+// ObserveWarmUps registers a metric of the endpoints in warm-up. The function returns their number.
+func ObserveWarmUps(registry prometheus.Registerer, observe func() int) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "comfreyplank_endpoints_in_warm_up", Help: "Endpoints that have announced that they are in warm-up.",
+	}, func() float64 { return float64(observe()) }))
+}
+
 // Event counts an event of the given kind.
 func (c *Counter) Event(kind recorder.Kind) { c.events.WithLabelValues(string(kind)).Inc() }
 
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -505,6 +505,13 @@
 	return d.stateMachine.EvacuatedCount()
 }
 
+// WarmUpCount returns the number of endpoints in warm-up, as far as the replica knows.
+func (d *Driver) WarmUpCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stateMachine.WarmUpCount(time.Now())
+}
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (d *Driver) Document() (uint64, validator.Document) {
 	d.mu.Lock()
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -114,6 +114,7 @@
 	}
 	counter.ObserveLimits(prometheus.DefaultRegisterer, d.LimitTotals)
 	counter.ObserveEvacuations(prometheus.DefaultRegisterer, d.EvacuatedCount)
+	counter.ObserveWarmUps(prometheus.DefaultRegisterer, d.WarmUpCount)
 	streamListener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for entries")
--- a/core/balancer/answer.go
+++ b/core/balancer/answer.go
@@ -20,6 +20,7 @@
 	if a.current() {
 		b.recordReport(now, a.endpoint, v.Report, len(a.endpoint.inFlight)-1)
 		b.observeLimit(now, a, v.Report.Limit)
+		b.observeWarmUp(now, a, v.Report)
 	}
 	b.recordLatency(now, a.endpoint, v.Report, latency)
 	if !isFailure(v.Status) {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -81,6 +81,9 @@
 	LastDirectReport time.Time
 	// Limit is the endpoint's limit as control knows it.
 	Limit throttler.Limit
+	// WarmUpUntil is when the warm-up that the endpoint has announced ends; zero without one, and if the service has no
+	// rate for endpoints in warm-up.
+	WarmUpUntil time.Time
 }
 
 // Balancer is the state machine of one service in one entry. It is not safe for concurrent use.
@@ -138,6 +141,16 @@
 	lastProbe   time.Time
 	// anyLimited is set if an endpoint may have a limit.
 	anyLimited bool
+	// warmUpRate is how many requests per second an endpoint in warm-up takes from all entries together; zero means no
+	// limit.
+	warmUpRate float64
+	// lostContact is set while the entry has no configuration lease, if the service has a rate for endpoints in warm-up.
+	lostContact bool
+	// warmUpsUntil is no earlier than the end of any warm-up.
+	warmUpsUntil time.Time
+	// probesNameWarmUp is set once the reply to a probe has named a warm-up, so that one that names none means that
+	// there is none.
+	probesNameWarmUp bool
 	// remembered is what endpoints have said that are no longer announced.
 	remembered  []rememberedStatements
 	limitCounts LimitCounts
@@ -172,6 +185,7 @@
 func New(entry string, service validator.Service, opts ...Option) *Balancer {
 	b := &Balancer{
 		service:         service.Name,
+		warmUpRate:      service.WarmUpRequestsPerSecond,
 		entry:           entry,
 		queue:           limiter.NewQueue(service.QueueLimit),
 		budget:          retrier.NewBudget(service.RetryPercent),
--- a/core/balancer/due.go
+++ b/core/balancer/due.go
@@ -49,6 +49,7 @@
 		b.latenciesChanged = false
 		b.picker.UpdateTypicalLatency(b.candidates)
 	}
+	b.helpWarmUps(now)
 	if !b.nextAvailabilityChange.IsZero() && !now.Before(b.nextAvailabilityChange) {
 		b.updateCandidates(now)
 		b.dispatchQueued(now)
--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -48,6 +48,7 @@
 		if a.current() {
 			b.recordReport(now, e, v.Report, len(e.inFlight))
 			b.observeRefusal(now, a, v.Report.Limit)
+			b.observeWarmUp(now, a, v.Report)
 		}
 		e.limit.RecordRefusal(len(e.inFlight), b.limitOf(e))
 		e.trial = false
--- a/core/balancer/endpoint.go
+++ b/core/balancer/endpoint.go
@@ -69,6 +69,8 @@
 	statement throttler.Statement
 	// throttle holds the limit of the endpoint; nil if it has never named one.
 	throttle *throttler.Throttle
+	// warmUp is what the endpoint has said of its warm-up.
+	warmUp warmUp
 	// probesNameLimit is set once the reply to a probe has named a limit, so that one without
 	// a limit means that there is none.
 	probesNameLimit bool
@@ -106,6 +108,7 @@
 	b.budget.SetPercent(v.Service.RetryPercent)
 	b.entries = v.Entries
 	b.probePath = v.Service.HealthPath
+	b.setWarmUpRate(now, v.Service.WarmUpRequestsPerSecond)
 	listed := make(map[string]bool, len(v.Endpoints))
 	for _, e := range v.Endpoints {
 		listed[e.Endpoint] = true
@@ -167,6 +170,7 @@
 	if restarted {
 		b.rememberSaid(now, e) // an announcement of this incarnation may come again from a replica that is behind
 	}
+	announcedUntil := e.WarmUpUntil
 	e.Endpoint = next
 	e.removed = false
 	if restarted || startedServing || returned {
@@ -180,8 +184,12 @@
 		e.failures = 0
 		e.ejectedUntil = time.Time{}
 		e.forgetLimit()
+		announcedUntil = time.Time{}
 	}
 	b.adoptLimit(now, e, next.Limit)
+	if !next.WarmUpUntil.Equal(announcedUntil) {
+		b.onWarmUpAnnounced(now, e)
+	}
 }
 
 // add adds a new endpoint. Endpoints that were there before this entry count as warm.
@@ -196,6 +204,7 @@
 	b.ranksStale = true
 	b.candidates = append(b.candidates, picker.Candidate{WarmUpStart: warmFrom})
 	b.adoptLimit(now, e, next.Limit)
+	b.onWarmUpAnnounced(now, e)
 }
 
 func (b *Balancer) recordStop(e *endpoint, next Endpoint) {
--- a/core/balancer/input.go
+++ b/core/balancer/input.go
@@ -29,6 +29,8 @@
 	Slowdown float64
 	// Limit is what the response states about the endpoint's limit.
 	Limit throttler.Statement
+	// WarmUp is what the response states about the endpoint's warm-up.
+	WarmUp throttler.WarmUpStatement
 	// Leaving is set if the endpoint states that it leaves and gets no new requests.
 	Leaving bool
 	// Incarnation is that of the process that responded; zero if the response doesn't tell.
--- a/core/balancer/limit.go
+++ b/core/balancer/limit.go
@@ -43,6 +43,7 @@
 // forgetLimit drops the limit of an earlier process of the endpoint.
 func (e *endpoint) forgetLimit() {
 	e.throttle = nil
+	e.warmUp = warmUp{}
 	e.probesNameLimit = false
 	e.statement = throttler.Statement{}
 }
@@ -87,6 +88,7 @@
 // observeProbe applies what the reply to a probe states. If no such reply has named a limit so
 // far, one without a limit says nothing.
 func (b *Balancer) observeProbe(now time.Time, e *endpoint, v ProbeEnded) {
+	b.observeProbedWarmUp(now, e, v)
 	s := v.Report.Limit
 	e.probesNameLimit = e.probesNameLimit || s.Kind == throttler.StatementLimit
 	if e.probesNameLimit {
@@ -101,20 +103,26 @@
 		if s.Kind != throttler.StatementLimit {
 			return
 		}
-		e.throttle = throttler.New(b.rand, b.sharingEntries())
+		b.addThrottle(now, e)
 	}
 	if e.throttle.Observe(now, sentAt, s) {
 		b.onLimitChanged(now, e)
 	}
 }
 
+// addThrottle gives an endpoint that had neither a limit nor a warm-up a throttle.
+func (b *Balancer) addThrottle(now time.Time, e *endpoint) {
+	e.throttle = throttler.New(b.rand, b.sharingEntries())
+	e.throttle.SetWarmUp(now, b.warmUpRate, e.warmUp.until)
+}
+
 // adoptLimit applies the limit that control knows.
 func (b *Balancer) adoptLimit(now time.Time, e *endpoint, l throttler.Limit) {
 	if l.Version == 0 {
 		return
 	}
 	if e.throttle == nil {
-		e.throttle = throttler.New(b.rand, b.sharingEntries())
+		b.addThrottle(now, e)
 	}
 	if e.throttle.Adopt(now, l) {
 		b.record(recorder.KindEndpointLimitChanged, nil, e, fmt.Sprintf("%s, version %d of control", describeRate(l.Rate), l.Version))
--- a/core/balancer/permit.go
+++ b/core/balancer/permit.go
@@ -129,7 +129,8 @@
 
 // unlimitedChoice returns an endpoint that needs a permit if the call might use it, were there no limits: the first such
 // one of those that would be probed, or without sampling the one that would be picked, or one drawn at random, as an
-// endpoint that gets few requests is picked late. Otherwise it returns nil.
+// endpoint that gets few requests is picked late. Otherwise it returns nil. While endpoints are in warm-up, all are
+// considered and not only the preferred ones: a few entries prefer so few that many endpoints would lie idle.
 func (b *Balancer) unlimitedChoice(now time.Time, c *call) *endpoint {
 	samples := b.sampling.Endpoints > 0
 	if !samples {
@@ -140,7 +141,7 @@
 	}
 	var drawn []*endpoint
 	for range max(1, b.sampling.Endpoints) {
-		i := b.picker.Draw(b.candidates, c.sampled || !samples, func(i int) bool {
+		i := b.picker.Draw(b.candidates, c.sampled || !samples || b.anyInWarmUp(now), func(i int) bool {
 			return slices.Contains(drawn, b.endpoints[i]) || !b.maySample(now, c, b.endpoints[i])
 		})
 		if i == picker.None {
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -125,6 +125,8 @@
 	changedLimits    []permitter.EndpointLimit
 	nextLimitUpdate  time.Time
 	nextLimitRefresh time.Time
+	// sentLimits is set if the last list of all limits was not empty.
+	sentLimits bool
 	// lastTick is the time of the last Tick.
 	lastTick time.Time
 	// nextStore is the earliest time at which the endpoints may be stored again. storedDigest is
--- a/core/controller/limit_test.go
+++ b/core/controller/limit_test.go
@@ -122,15 +122,16 @@
 // probe lets a backend reply to a probe one step later.
 func (s *simulation) probe(e *simEntry, p balancer.Probe) {
 	starts := e.starts
-	load := 0
+	report := balancer.Report{}
 	for _, b := range s.backends {
 		if b.name == p.Endpoint {
-			load = b.running(s.now)
+			report.Load = b.running(s.now)
+			report.WarmUp = s.warmUpStatement(b)
 		}
 	}
 	s.deliverLater(p.Endpoint, e.name, true, func() {
 		if e.up && e.starts == starts {
-			s.handleBalancer(e, balancer.ProbeEnded{Call: p.Call, Endpoint: p.Endpoint, OK: true, Elapsed: step, Report: balancer.Report{Load: load}})
+			s.handleBalancer(e, balancer.ProbeEnded{Call: p.Call, Endpoint: p.Endpoint, OK: true, Elapsed: step, Report: report})
 		}
 	})
 }
--- a/core/controller/limits.go
+++ b/core/controller/limits.go
@@ -153,7 +153,10 @@
 		_, ok := c.registry.Find(name)
 		return ok
 	})
-	c.sendLimitsToPeers(messenger.LimitUpdate{Full: true, Limits: c.permits.Limits()})
+	if limits := c.permits.Limits(); len(limits) > 0 || c.sentLimits {
+		c.sentLimits = len(limits) > 0
+		c.sendLimitsToPeers(messenger.LimitUpdate{Full: true, Limits: limits})
+	}
 }
 
 // onLimitUpdate adopts the limits of the leader, and queues those that are new for the entries.
--- a/core/controller/membership.go
+++ b/core/controller/membership.go
@@ -160,7 +160,7 @@
 		return // it was meant for the leaders; its digest is compared by the replicas that got it directly
 	}
 	c.relayPresence(v)
-	c.compareRegistry(p, v.RegistryDigest, restarted)
+	c.compareRegistry(now, p, v.RegistryDigest, restarted)
 }
 
 // relayPresence forwards a presence message to the leaders if its sender is not a member: the
--- a/core/controller/registry.go
+++ b/core/controller/registry.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -38,19 +39,30 @@
 		switch c.registry.Announce(now, a) {
 		case registrar.OutcomeChanged:
 			changed = append(changed, a)
-			c.record(recorder.Event{Kind: recorder.KindEndpointStateChanged, Service: a.Service, Endpoint: a.Endpoint, Detail: stateOf(a)})
+			c.onAnnouncementChanged(a)
 		case registrar.OutcomeRenewed:
-			c.peerUpdate.Renewals = append(c.peerUpdate.Renewals, messenger.Renewal{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load, Content: a.Content()})
+			c.peerUpdate.Renewals = append(c.peerUpdate.Renewals, messenger.Renewal{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Load: a.Load, Content: a.Content(), WarmUp: a.WarmUp, WarmUpTold: true})
 		}
 	}
 	c.queueEntryUpdate(now, changed, nil)
 	return changed
 }
 
+// onAnnouncementChanged handles an announcement that has changed the registry.
+func (c *Controller) onAnnouncementChanged(a registrar.Announcement) {
+	if a.WarmUp <= 0 {
+		c.permits.EndWarmUp(a.Name, a.Incarnation)
+	}
+	c.record(recorder.Event{Kind: recorder.KindEndpointStateChanged, Service: a.Service, Endpoint: a.Endpoint, Detail: stateOf(a)})
+}
+
 func stateOf(a registrar.Announcement) string {
 	if a.Deregistered {
 		return "gone"
 	}
+	if a.WarmUp > 0 {
+		return fmt.Sprintf("%s, in warm-up for %s", a.State, a.WarmUp.Round(time.Millisecond))
+	}
 	return string(a.State)
 }
 
@@ -113,7 +125,14 @@
 	}
 	a.Sequence = r.Sequence
 	a.Load = r.Load
-	c.registry.Announce(now, a)
+	a = c.registry.WithCurrentWarmUp(now, a)
+	if r.WarmUpTold {
+		a.WarmUp = r.WarmUp
+	}
+	if c.registry.Announce(now, a) == registrar.OutcomeChanged { // this replica has missed a change of the warm-up
+		c.onAnnouncementChanged(a)
+		c.queueEntryUpdate(now, []registrar.Announcement{a}, nil)
+	}
 }
 
 // storeIfDue stores the state that helps this replica to restart, if it has changed.
@@ -161,7 +180,7 @@
 
 // compareRegistry sends all endpoints to a peer that has restarted or whose registry stays
 // different.
-func (c *Controller) compareRegistry(p *peerState, digest uint64, restarted bool) {
+func (c *Controller) compareRegistry(now time.Time, p *peerState, digest uint64, restarted bool) {
 	if digest == c.registry.Digest() {
 		p.digestMismatches = 0
 		return
@@ -171,5 +190,5 @@
 		return
 	}
 	p.digestMismatches = 0
-	c.sendPeerUpdate([]string{p.member.Address}, messenger.RegistryUpdate{Announcements: c.registry.All("")})
+	c.sendPeerUpdate([]string{p.member.Address}, messenger.RegistryUpdate{Announcements: c.registry.CurrentWarmUps(now, c.registry.All(""))})
 }
--- a/core/controller/standing.go
+++ b/core/controller/standing.go
@@ -66,7 +66,7 @@
 func (c *Controller) onHello(now time.Time, conn Conn, hello messenger.Hello) {
 	switch {
 	case c.mayColdStart(now, hello):
-		c.sendState(conn)
+		c.sendState(now, conn)
 	case !c.inContactWithQuorum(now):
 		c.emit(SendEntry{Conn: conn, Message: messenger.Lagging{}})
 	}
@@ -109,24 +109,24 @@
 
 // confirmEntry marks the state of an entry as confirmed, and sends it unless the entry already
 // has it.
-func (c *Controller) confirmEntry(_ time.Time, conn Conn) {
+func (c *Controller) confirmEntry(now time.Time, conn Conn) {
 	e, ok := c.entries[conn]
 	if !ok || e.disconnected {
 		return
 	}
 	e.confirmed = true
 	if !e.initialised {
-		c.sendState(conn)
+		c.sendState(now, conn)
 	}
 }
 
 // sendState sends an entry everything that it needs to start. The endpoints come first, so that
 // the entry knows them when it applies the configuration. An entry that already has the
 // configuration does not get it again, since it may be large and the links slow.
-func (c *Controller) sendState(conn Conn) {
+func (c *Controller) sendState(now time.Time, conn Conn) {
 	c.entries[conn].initialised = true
 	// Deregistered endpoints are included, since the entry may still know them as present.
-	c.emit(SendEntry{Conn: conn, Message: messenger.EndpointUpdate{Full: true, Changed: c.registry.All("")}})
+	c.emit(SendEntry{Conn: conn, Message: messenger.EndpointUpdate{Full: true, Changed: c.registry.CurrentWarmUps(now, c.registry.All(""))}})
 	if held := c.entries[conn].revision; held == 0 || held < c.committer.Revision() {
 		c.sendConfig(conn)
 	} else {
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -119,6 +119,9 @@
 // EvacuatedCount returns the number of evacuated data centres, as far as this replica knows.
 func (c *Controller) EvacuatedCount() int { return len(c.committer.Evacuated()) }
 
+// WarmUpCount returns the number of endpoints in warm-up, as far as this replica knows.
+func (c *Controller) WarmUpCount(now time.Time) int { return c.registry.InWarmUp(now) }
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (c *Controller) Document() (uint64, validator.Document) {
 	return c.committer.Revision(), c.committer.Document()
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -70,7 +70,8 @@
 	pendingDepartures      map[uint64]registrar.Announcement
 	acknowledgedDepartures []registrar.Announcement
 	// slots is the number of slots that backends announce; zero means slotsOfBackend.
-	slots int
+	slots            int
+	probesNameWarmUp bool
 	// onAnnounceReply is called for each reply to an announcement, if it is set.
 	onAnnounceReply func(controller.AnnounceReply)
 	runsByKey       map[string]int
@@ -131,7 +132,9 @@
 	told []toldRate
 	// heard is what backends have said to it about new requests, and known the incarnations that it knows.
 	heard heardWishes
-	known map[string]uint64
+	// warmUps lists the warm-ups of which the balancer was told.
+	warmUps []toldWarmUp
+	known   map[string]uint64
 	// disruptedAt is when the entry was last started, frozen or cut off.
 	disruptedAt time.Time
 	// frozen entries handle nothing until they are awake again.
@@ -156,6 +159,11 @@
 	dataCentre string
 	// evacuated is set while the order to evacuate its data centre is in effect.
 	evacuated bool
+	// coldFrom and coldUntil bound the backend's warm-up; zero without one. It names it in announcements and, if the
+	// simulation has probesNameWarmUp set, in replies to probes.
+	coldFrom, coldUntil time.Time
+	// warmUps lists the warm-ups that have ended.
+	warmUps []span
 	// wish is what the backend says about new requests.
 	wish wish
 }
@@ -261,6 +269,7 @@
 	e.idempotencyKeys = map[balancer.CallID]string{}
 	e.disruptedAt = s.now
 	e.heard = heardWishes{}
+	e.warmUps = nil
 	e.known = map[string]uint64{}
 	var addresses []string
 	for _, c := range s.replicas {
@@ -357,7 +366,8 @@
 	b.sequence++
 	a := registrar.Announcement{
 		Name: registrar.Name{Service: serviceName, Endpoint: b.name}, Address: "127.0.0.1:1", DataCentre: cmp.Or(b.dataCentre, "dc"),
-		Slots: cmp.Or(s.slots, slotsOfBackend), Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
+		WarmUp: max(0, b.coldUntil.Sub(s.now)),
+		Slots:  cmp.Or(s.slots, slotsOfBackend), Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
 	}
 	if e.up && !e.frozen {
 		s.handleEntry(e, subscriber.Announced{Announcement: a})
@@ -495,9 +505,11 @@
 		e.revision = v.Revision
 	case subscriber.Reconfigure:
 		e.learn(v.Reconfigure.Endpoints)
+		e.noteWarmUps(v.Reconfigure.Endpoints)
 		s.handleBalancer(e, v.Reconfigure)
 	case subscriber.ChangeEndpoints:
 		e.learn(v.Changed.Changed)
+		e.noteWarmUps(v.Changed.Changed)
 		s.handleBalancer(e, v.Changed)
 	case subscriber.RenewConfigLease:
 		s.handleBalancer(e, balancer.ConfigLeaseChanged{Until: v.Until, Entries: v.Entries})
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -232,6 +232,10 @@
 	// Content is the Content of the announcement that is renewed, or zero from a replica of a version that does not
 	// send it.
 	Content uint64
+	// WarmUp is the remaining time of the endpoint's warm-up. It holds only if WarmUpTold is set, which a replica of a
+	// version that does not send it leaves out.
+	WarmUp     time.Duration
+	WarmUpTold bool
 }
 
 // ShareRequest asks the leader for a replica's shares of the probe budgets.
--- a/core/permitter/permitter.go
+++ b/core/permitter/permitter.go
@@ -1,4 +1,4 @@
-// Package permitter issues permits for the endpoints that have named a limit: the requests that
+// Package permitter issues permits for the endpoints that have named a limit or are in warm-up: the requests that
 // all entries together may send there. It is the leader's part; core/throttler is that of the
 // entries.
 //
@@ -47,6 +47,10 @@
 	usedAt time.Time
 	// issued is the number of permits that this replica has issued since it learned of the limit.
 	issued uint64
+	// warmUpRate is what the endpoint takes until warmUpUntil at most, as the last entry has told that asked for permits
+	// during its warm-up; zero without a warm-up.
+	warmUpRate  float64
+	warmUpUntil time.Time
 	// demand is how many requests of all entries want a permit.
 	demand demand
 }
@@ -63,7 +67,7 @@
 // New returns a permitter that knows of no limit.
 func New() *Permitter { return &Permitter{records: make(map[registrar.Name]*record)} }
 
-// Len returns the number of limits, including those that are no longer named.
+// Len returns the number of endpoints with a limit or a warm-up, including those whose limit is no longer named.
 func (p *Permitter) Len() int { return len(p.records) }
 
 // Issued returns the number of permits issued by this process.
@@ -77,6 +81,10 @@
 		return throttler.Grant{}, false
 	}
 	r.usedAt = now
+	if incarnation == r.Incarnation && v.WarmUp.Left > 0 {
+		r.warmUpRate = v.WarmUp.Rate
+		r.warmUpUntil = now.Add(v.WarmUp.Left)
+	}
 	if incarnation != r.Incarnation || v.Permits <= 0 {
 		return throttler.Grant{Limit: r.limitFor(incarnation)}, changed
 	}
@@ -102,7 +110,7 @@
 		return r, false
 	}
 	if !known || incarnation > r.Incarnation {
-		if v.Limit.Rate == 0 {
+		if v.Limit.Rate == 0 && v.WarmUp.Left <= 0 {
 			return r, false
 		}
 		r = &record{EndpointLimit: EndpointLimit{Name: name, Incarnation: incarnation}}
@@ -136,12 +144,25 @@
 	return throttler.Restricts(v.Limit.Rate, current.Rate) || v.Limit.Version == current.Version
 }
 
+// rate returns the rate that applies: the lower of the limit and the rate of the warm-up.
+func (r *record) rate(now time.Time) float64 {
+	return throttler.WarmUp{Rate: r.warmUpRate, Left: r.warmUpUntil.Sub(now)}.Restrict(r.Limit.Rate)
+}
+
+// EndWarmUp ends the warm-up of an endpoint whose announcement says so.
+func (p *Permitter) EndWarmUp(name registrar.Name, incarnation uint64) {
+	if r, ok := p.records[name]; ok && r.Incarnation == incarnation {
+		r.warmUpRate = 0
+	}
+}
+
 // issue issues up to the number of wanted permits.
 func (r *record) issue(now time.Time, wanted int) throttler.Grant {
-	if r.Limit.Rate == 0 {
+	rate := r.rate(now)
+	if rate == 0 {
 		return throttler.Grant{Limit: r.Limit}
 	}
-	interval := time.Duration(float64(time.Second) / r.Limit.Rate)
+	interval := time.Duration(float64(time.Second) / rate)
 	if earliest := now.Add(-interval); r.next.Before(earliest) {
 		r.next = earliest
 	}
@@ -154,7 +175,7 @@
 	if ahead <= most {
 		permits = min(wanted, 1+int((most-ahead)/interval))
 	}
-	r.demand.add(now, wanted, r.Limit.Rate)
+	r.demand.add(now, wanted, rate)
 	r.next = r.next.Add(time.Duration(permits) * interval)
 	g := throttler.Grant{Limit: r.Limit, Permits: permits, Delay: ahead, Interval: interval, AskShare: r.demand.share}
 	if permits < wanted {
@@ -202,7 +223,9 @@
 func (p *Permitter) Limits() []EndpointLimit {
 	list := make([]EndpointLimit, 0, len(p.records))
 	for _, r := range p.records {
-		list = append(list, r.EndpointLimit)
+		if r.Limit.Version > 0 {
+			list = append(list, r.EndpointLimit)
+		}
 	}
 	slices.SortFunc(list, func(a, b EndpointLimit) int { return a.Name.Compare(b.Name) })
 	return list
@@ -230,7 +253,7 @@
 
 // Find returns the limit of an endpoint.
 func (p *Permitter) Find(name registrar.Name) (EndpointLimit, bool) {
-	if r, ok := p.records[name]; ok {
+	if r, ok := p.records[name]; ok && r.Limit.Version > 0 {
 		return r.EndpointLimit, true
 	}
 	return EndpointLimit{}, false
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -96,6 +96,29 @@
 	announcement Announcement
 	// expires is on the receiver's monotonic clock.
 	expires time.Time
+	// warmUpEnd is when the warm-up ends that was announced with the last change; zero without one.
+	warmUpEnd time.Time
+}
+
+// warmUpTolerance is by how much the end of a warm-up may move from one announcement to the next without a change:
+// more than messages between processes take.
+const warmUpTolerance = time.Second
+
+// warmUpEnd returns when the warm-up of an announcement that has just arrived ends; zero without one.
+func (a Announcement) warmUpEnd(now time.Time) time.Time {
+	if a.WarmUp <= 0 {
+		return time.Time{}
+	}
+	return now.Add(a.WarmUp)
+}
+
+// continuesWarmUp reports whether an announcement only confirms what is known of the warm-up. An endpoint may become
+// cold at any time, so the start of a warm-up is a change, and so are its early end and another end.
+func (r *record) continuesWarmUp(now time.Time, a Announcement) bool {
+	if a.WarmUp <= 0 || r.warmUpEnd.IsZero() {
+		return a.WarmUp <= 0 && !now.Before(r.warmUpEnd.Add(-warmUpTolerance))
+	}
+	return a.warmUpEnd(now).Sub(r.warmUpEnd).Abs() <= warmUpTolerance
 }
 
 // Registry holds announcements until their leases end. It also holds deregistrations, so that
@@ -155,15 +178,16 @@
 		return OutcomeStale
 	}
 	if !known {
-		rec := &record{a, now.Add(r.lease)}
+		rec := &record{announcement: a, expires: now.Add(r.lease), warmUpEnd: a.warmUpEnd(now)}
 		r.updateDigest(nil, rec)
 		r.records[a.Name] = rec
 		r.scheduleExpiry(rec)
 		return OutcomeChanged
 	}
-	renewed := a.sameExceptProgress(old.announcement)
-	next := record{a, now.Add(r.lease)}
+	renewed := a.sameExceptProgress(old.announcement) && old.continuesWarmUp(now, a)
+	next := record{announcement: a, expires: now.Add(r.lease), warmUpEnd: old.warmUpEnd}
 	if !renewed {
+		next.warmUpEnd = a.warmUpEnd(now)
 		r.updateDigest(old, &next)
 	}
 	*old = next
@@ -219,6 +243,34 @@
 	return Announcement{}, false
 }
 
+// WithCurrentWarmUp sets the remaining time of the warm-up in an announcement of the registry, which holds the one that
+// was announced.
+func (r *Registry) WithCurrentWarmUp(now time.Time, a Announcement) Announcement {
+	if rec, ok := r.records[a.Name]; ok && rec.announcement.Incarnation == a.Incarnation {
+		a.WarmUp = max(0, rec.warmUpEnd.Sub(now))
+	}
+	return a
+}
+
+// CurrentWarmUps applies WithCurrentWarmUp to a list, and returns it.
+func (r *Registry) CurrentWarmUps(now time.Time, list []Announcement) []Announcement {
+	for i, a := range list {
+		list[i] = r.WithCurrentWarmUp(now, a)
+	}
+	return list
+}
+
+// InWarmUp returns the number of endpoints that are in warm-up.
+func (r *Registry) InWarmUp(now time.Time) int {
+	n := 0
+	for _, rec := range r.records {
+		if !rec.announcement.Leaving() && now.Before(rec.warmUpEnd) {
+			n++
+		}
+	}
+	return n
+}
+
 // Expire removes the endpoints whose leases have ended and returns their last announcements.
 func (r *Registry) Expire(now time.Time) []Announcement {
 	var expired []Announcement
@@ -233,7 +285,7 @@
 		if r.addressOwners != nil && r.addressOwners[rec.announcement.Address] == name {
 			delete(r.addressOwners, rec.announcement.Address)
 		}
-		last := &record{rec.announcement, now.Add(expiredRetention * r.lease)}
+		last := &record{announcement: rec.announcement, expires: now.Add(expiredRetention * r.lease)}
 		r.expired[name] = last
 		r.scheduleExpiry(last)
 		expired = append(expired, rec.announcement)
--- a/core/subscriber/endpoints.go
+++ b/core/subscriber/endpoints.go
@@ -17,6 +17,7 @@
 		return
 	}
 	s.directAt[a.Name] = now
+	s.noteWarmUp(now, a)
 	if s.connected {
 		s.emit(Send{Message: messenger.EndpointAnnouncements{Announcements: []registrar.Announcement{a}}})
 	}
@@ -38,13 +39,12 @@
 		if !ok || !known.Outdates(a) {
 			s.relayed[a.Name] = a
 		}
+		s.noteWarmUp(now, a)
 		delete(s.unlisted, a.Name)
 		changed = append(changed, a.Name)
 	}
 	for _, name := range v.Removed {
-		delete(s.relayed, name)
-		delete(s.unlisted, name)
-		delete(s.limits, name)
+		s.forgetRelayed(name)
 		changed = append(changed, name)
 	}
 	if v.Full {
@@ -54,6 +54,16 @@
 	s.changeByService(now, changed)
 }
 
+// forgetRelayed drops what replicas have said of an endpoint.
+func (s *Subscriber) forgetRelayed(name registrar.Name) {
+	delete(s.relayed, name)
+	delete(s.unlisted, name)
+	delete(s.limits, name)
+	if _, ok := s.direct.Find(name); !ok {
+		delete(s.warmUps, name)
+	}
+}
+
 // changeByService notifies the balancers of changes to the named endpoints, grouped by service.
 func (s *Subscriber) changeByService(now time.Time, names []registrar.Name) {
 	slices.SortFunc(names, registrar.Name.Compare)
@@ -122,9 +132,7 @@
 			s.unlistedExpiry = scheduler.Earliest(s.unlistedExpiry, until)
 			continue
 		}
-		delete(s.unlisted, name)
-		delete(s.relayed, name)
-		delete(s.limits, name)
+		s.forgetRelayed(name)
 		dropped = append(dropped, name)
 	}
 	s.changeByService(now, dropped)
@@ -135,6 +143,9 @@
 	names := make([]registrar.Name, 0, len(expired))
 	for _, a := range expired {
 		delete(s.directAt, a.Name)
+		if _, ok := s.relayed[a.Name]; !ok {
+			delete(s.warmUps, a.Name)
+		}
 		names = append(names, a.Name)
 	}
 	s.changeByService(now, names)
@@ -198,8 +209,11 @@
 	if service.Connections > 0 {
 		a.Connections = service.Connections
 	}
+	until := s.warmUpUntil(service, a)
+	a.WarmUp = 0 // counted from a time that the balancer doesn't know
 	return balancer.Endpoint{
 		Announcement:     a,
+		WarmUpUntil:      until,
 		Stopped:          s.document.Stopped(a.Service, a.Endpoint, now),
 		Evacuated:        slices.Contains(s.evacuated, a.DataCentre),
 		Remote:           a.DataCentre != s.hello.DataCentre,
--- a/core/subscriber/replicas.go
+++ b/core/subscriber/replicas.go
@@ -47,7 +47,7 @@
 	hello := s.hello
 	hello.Revision = s.revision
 	s.emit(Send{Message: hello})
-	if list := s.direct.List(""); len(list) > 0 {
+	if list := s.direct.CurrentWarmUps(now, s.direct.List("")); len(list) > 0 {
 		s.emit(Send{Message: messenger.EndpointAnnouncements{Announcements: list}})
 	}
 	s.sendHeartbeat(now)
--- a/core/subscriber/subscriber.go
+++ b/core/subscriber/subscriber.go
@@ -234,6 +234,8 @@
 	direct         *registrar.Registry
 	// directAt is when each endpoint last made a direct announcement.
 	directAt map[registrar.Name]time.Time
+	// warmUps holds what the latest announcement of each endpoint says of its warm-up.
+	warmUps map[registrar.Name]warmUp
 	// nextStopAt is the time of the next scheduled stop; zero without one.
 	nextStopAt time.Time
 
@@ -275,6 +277,7 @@
 		unlisted: make(map[registrar.Name]time.Time),
 		direct:   registrar.New(),
 		directAt: make(map[registrar.Name]time.Time),
+		warmUps:  make(map[registrar.Name]warmUp),
 		commands: make(map[uint64]*pendingCommand),
 		permits:  permits{pending: make(map[registrar.Name]messenger.PermitDemand)},
 		limits:   make(map[registrar.Name]permitter.EndpointLimit),
--- a/core/throttler/limit.go
+++ b/core/throttler/limit.go
@@ -24,6 +24,8 @@
 	// Observed is set if a response to this entry named the rate and no later version has
 	// been received since.
 	Observed bool
+	// WarmUp is the warm-up of the endpoint, as the entry knows it.
+	WarmUp WarmUp
 	// Permits is how many requests the entry would send to the endpoint soon.
 	Permits int
 }
--- a/core/throttler/throttle.go
+++ b/core/throttler/throttle.go
@@ -37,11 +37,18 @@
 	rand *rand.Rand
 	// entries is how many entries share the limit; at least 1.
 	entries int
-	limit   Limit
-	// learnedAt is when the rate was last changed. A response to a request that was sent before
-	// may be older than the rate.
+	// limit is what the endpoint names, and rate what applies: the lower of that and the rate of the warm-up.
+	limit Limit
+	rate  float64
+	// warmUpRate applies until warmUpUntil; zero without a warm-up.
+	warmUpRate  float64
+	warmUpUntil time.Time
+	// restrictedAt is when the rate was last lowered. Permits that were requested before were issued for a higher one.
+	restrictedAt time.Time
+	// learnedAt is when the limit was last changed. A response to a request that was sent before
+	// may be older than the limit.
 	learnedAt time.Time
-	// observed is set while the rate comes from a response to this entry and control may not
+	// observed is set while the limit comes from a response to this entry and control may not
 	// know it. unreported is set until it is part of a request.
 	observed, unreported bool
 
@@ -77,11 +84,11 @@
 // SetEntries sets the number of entries that share the limit.
 func (t *Throttle) SetEntries(entries int) { t.entries = max(1, entries) }
 
-// Limit returns the limit that the entry applies.
+// Limit returns the limit that the endpoint names, as the entry knows it.
 func (t *Throttle) Limit() Limit { return t.limit }
 
 // Limited reports whether requests need a permit.
-func (t *Throttle) Limited() bool { return t.limit.Rate > 0 }
+func (t *Throttle) Limited() bool { return t.rate > 0 }
 
 // Observe applies what a response to a request of this entry states. It reports whether the limit
 // has changed. A lower limit applies at once; a higher one, or none, only if the request was sent
@@ -93,7 +100,7 @@
 	if s.Rate == t.limit.Rate || (!Restricts(s.Rate, t.limit.Rate) && sentAt.Before(t.learnedAt)) {
 		return false
 	}
-	t.setRate(now, s.Rate)
+	t.setLimit(now, s.Rate)
 	t.observed = true
 	t.unreported = true
 	return true
@@ -115,17 +122,24 @@
 	if l.Rate == t.limit.Rate {
 		return false
 	}
-	t.setRate(now, l.Rate)
+	t.setLimit(now, l.Rate)
 	return true
 }
 
+// setLimit changes the limit that the endpoint names.
+func (t *Throttle) setLimit(now time.Time, rate float64) {
+	t.limit.Rate = rate
+	t.learnedAt = now
+	t.updateRate(now)
+}
+
 // setRate changes the rate. Permits that were issued for a higher one are dropped.
 func (t *Throttle) setRate(now time.Time, rate float64) {
-	if Restricts(rate, t.limit.Rate) {
+	if Restricts(rate, t.rate) {
 		t.permits = nil
+		t.restrictedAt = now
 	}
-	t.limit.Rate = rate
-	t.learnedAt = now
+	t.rate = rate
 	t.nextRequest = time.Time{}
 	t.nextOwn = time.Time{}
 	switch {
@@ -155,6 +169,9 @@
 		return true
 	}
 	t.refresh(now)
+	if !t.Limited() {
+		return true
+	}
 	return len(t.permits) > 0 && !now.Before(t.permits[0].from)
 }
 
@@ -197,7 +214,7 @@
 		t.phase = t.rand.Float64()
 	}
 	t.unreported = false
-	return Request{Limit: t.limit, Observed: t.observed, Permits: permits}, true
+	return Request{Limit: t.limit, Observed: t.observed, Permits: permits, WarmUp: t.warmUp(now)}, true
 }
 
 // missing returns how many permits to request now.
@@ -205,7 +222,7 @@
 	if !t.Limited() || t.awaitsReply() || now.Before(t.nextRequest) {
 		return 0
 	}
-	most := max(1, int(t.limit.Rate*askAhead.Seconds()))
+	most := max(1, int(t.rate*askAhead.Seconds()))
 	return min(t.wanted, most)
 }
 
@@ -227,7 +244,8 @@
 	if g.AskShare > 0 {
 		t.askShare = g.AskShare
 	}
-	if !t.Limited() || g.Limit.Version < t.limit.Version {
+	t.refresh(now)
+	if !t.Limited() || t.isOutdated(sentAt, g) {
 		return
 	}
 	for i := range g.Permits {
@@ -240,13 +258,22 @@
 	}
 }
 
+// isOutdated reports whether the permits of a reply may have been issued for a higher rate than the one that applies.
+func (t *Throttle) isOutdated(sentAt time.Time, g Grant) bool {
+	return (t.limit.Rate > 0 && g.Limit.Version < t.limit.Version) || (t.warmUpRate > 0 && sentAt.Before(t.restrictedAt))
+}
+
 func (t *Throttle) add(p permit) {
 	i, _ := slices.BinarySearchFunc(t.permits, p, func(a, b permit) int { return a.from.Compare(b.from) })
 	t.permits = slices.Insert(t.permits, i, p)
 }
 
-// refresh removes expired permits, and issues own ones while a reply is overdue.
+// refresh ends a warm-up that is over, removes expired permits, and issues own ones while a reply is overdue.
 func (t *Throttle) refresh(now time.Time) {
+	t.updateRate(now)
+	if !t.Limited() {
+		return
+	}
 	t.permits = slices.DeleteFunc(t.permits, func(p permit) bool { return !now.Before(p.until) })
 	if overdue := t.requestedAt.Add(replyTimeout); t.awaitsReply() && !now.Before(overdue) {
 		t.endRequest()
@@ -262,7 +289,7 @@
 
 // ownInterval is the time between two permits that this entry issues itself.
 func (t *Throttle) ownInterval() time.Duration {
-	return time.Duration(float64(time.Second) * ownShareDivisor * float64(t.entries) / t.limit.Rate)
+	return time.Duration(float64(time.Second) * ownShareDivisor * float64(t.entries) / t.rate)
 }
 
 // issueOwn issues the permits that are due.
@@ -323,7 +350,13 @@
 		return time.Time{}
 	}
 	t.refresh(now)
+	if !t.Limited() {
+		return time.Time{}
+	}
 	var at time.Time
+	if now.Before(t.warmUpUntil) {
+		at = t.warmUpUntil
+	}
 	for _, p := range t.permits {
 		at = scheduler.Earliest(at, p.until)
 		if p.from.After(now) {
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -117,11 +117,11 @@
 	return report
 }
 
-// ParseLoad parses a load header such as "load=3, state=serving, limit=2.5, incarnation=7". Missing or invalid
+// ParseLoad parses a load header such as "load=3, state=serving, limit=2.5, warm-up-ms=800, incarnation=7". Missing or invalid
 // parts are left unknown.
 func ParseLoad(value string) balancer.Report {
 	report := balancer.NoReport
-	var limits []string
+	var limits, warmUps []string
 	for part := range strings.SplitSeq(value, ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
 		switch name {
@@ -138,9 +138,12 @@
 			}
 		case "limit":
 			limits = append(limits, text)
+		case "warm-up-ms":
+			warmUps = append(warmUps, text)
 		}
 	}
 	report.Limit = throttler.ParseStatement(limits)
+	report.WarmUp = throttler.ParseWarmUp(warmUps)
 	return report
 }
 
--- a/entry/translator/native_test.go
+++ b/entry/translator/native_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -28,6 +29,26 @@
 		{"load=x, limit=", balancer.Report{Load: -1, Limit: throttler.Statement{Kind: throttler.StatementInvalid}}},
 	}
 	for _, tt := range tests {
+		tt.want.WarmUp.Kind = throttler.WarmUpNone
 		assert.Equal(t, ParseLoad(tt.text), tt.want, tt.text)
 	}
 }
+
+// TestLoadHeaderNamesTheWarmUp guards against a warm-up in the load header that is overlooked.
+func TestLoadHeaderNamesTheWarmUp(t *testing.T) {
+	named := func(left time.Duration) throttler.WarmUpStatement {
+		return throttler.WarmUpStatement{Kind: throttler.WarmUpNamed, Left: left}
+	}
+	tests := []struct {
+		text string
+		want throttler.WarmUpStatement
+	}{
+		{"load=3", throttler.WarmUpStatement{Kind: throttler.WarmUpNone}},
+		{"load=3, warm-up-ms=800, limit=2.5", named(800 * time.Millisecond)},
+		{"warm-up-ms=0", named(0)},
+		{"warm-up-ms=-5", throttler.WarmUpStatement{Kind: throttler.WarmUpInvalid}},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, ParseLoad(tt.text).WarmUp, tt.want, tt.text)
+	}
+}
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -28,7 +28,7 @@
 	share         = messenger.ServiceShare{Service: "s", Share: allotter.Share{ProbeMicros: 1, ProbeBytes: 2}, Life: time.Second}
 	limit         = permitter.EndpointLimit{Name: name, Incarnation: 4, Limit: throttler.Limit{Rate: 2.5, Version: 6}}
 	permitRequest = messenger.PermitRequest{Sequence: 1, Demands: []messenger.PermitDemand{
-		{Name: name, Incarnation: 4, Request: throttler.Request{Limit: limit.Limit, Observed: true, Permits: 3}},
+		{Name: name, Incarnation: 4, Request: throttler.Request{Limit: limit.Limit, Observed: true, Permits: 3, WarmUp: throttler.WarmUp{Rate: 5.8, Left: time.Second}}},
 	}}
 	permitReply = messenger.PermitReply{Sequence: 1, Grants: []messenger.PermitGrant{{Name: name, Incarnation: 4, Grant: throttler.Grant{
 		Limit: limit.Limit, Entries: 17, Permits: 2, Delay: -time.Second, Interval: time.Millisecond, RetryAfter: time.Minute, AskShare: 0.25,
@@ -107,7 +107,7 @@
 		messenger.RelayedUsage{From: "n", Usage: usage},
 		admission,
 		messenger.Presence{Member: member, Run: 1, Bootstrapped: true, RevisionInEffect: 2, RegistryDigest: 3, Relayed: true},
-		messenger.RegistryUpdate{Announcements: []registrar.Announcement{announcement}, Renewals: []messenger.Renewal{{Name: name, Incarnation: 1, Sequence: 2, Load: 3}}},
+		messenger.RegistryUpdate{Announcements: []registrar.Announcement{announcement}, Renewals: []messenger.Renewal{{Name: name, Incarnation: 1, Sequence: 2, Load: 3, WarmUpTold: true, WarmUp: time.Second}}},
 		messenger.ShareRequest{Sent: 1, From: "f", Run: 2, Entries: 3},
 		messenger.ShareReply{Sent: 1, Run: 2, Shares: []messenger.ServiceShare{share}},
 	}
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -88,11 +88,17 @@
 }
 
 func encodeRenewal(r messenger.Renewal) *wire.Renewal {
-	return &wire.Renewal{Name: encodeName(r.Name), Incarnation: r.Incarnation, Sequence: r.Sequence, Load: int64(r.Load), Content: r.Content}
+	return &wire.Renewal{
+		Name: encodeName(r.Name), Incarnation: r.Incarnation, Sequence: r.Sequence, Load: int64(r.Load), Content: r.Content,
+		WarmUpTold: r.WarmUpTold, WarmUpNanos: int64(r.WarmUp),
+	}
 }
 
 func decodeRenewal(r *wire.Renewal) messenger.Renewal {
-	return messenger.Renewal{Name: decodeName(r.GetName()), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Load: int(r.GetLoad()), Content: r.GetContent()}
+	return messenger.Renewal{
+		Name: decodeName(r.GetName()), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Load: int(r.GetLoad()), Content: r.GetContent(),
+		WarmUpTold: r.GetWarmUpTold(), WarmUp: time.Duration(r.GetWarmUpNanos()),
+	}
 }
 
 func encodeEntry(e replicator.Entry) *wire.Entry {
--- a/shell/encoder/permit.go
+++ b/shell/encoder/permit.go
@@ -27,13 +27,17 @@
 }
 
 func encodePermitDemand(d messenger.PermitDemand) *wire.PermitDemand {
-	return &wire.PermitDemand{Endpoint: encodeLimitOf(d.Name, d.Incarnation, d.Request.Limit), Observed: d.Request.Observed, Permits: int64(d.Request.Permits)}
+	return &wire.PermitDemand{
+		Endpoint: encodeLimitOf(d.Name, d.Incarnation, d.Request.Limit), Observed: d.Request.Observed, Permits: int64(d.Request.Permits),
+		WarmUpRate: d.Request.WarmUp.Rate, WarmUpNanos: int64(d.Request.WarmUp.Left),
+	}
 }
 
 func decodePermitDemand(d *wire.PermitDemand) messenger.PermitDemand {
 	l := d.GetEndpoint()
 	return messenger.PermitDemand{Name: decodeName(l.GetName()), Incarnation: l.GetIncarnation(), Request: throttler.Request{
 		Limit: decodeLimit(l.GetLimit()), Observed: d.GetObserved(), Permits: int(d.GetPermits()),
+		WarmUp: throttler.WarmUp{Rate: d.GetWarmUpRate(), Left: time.Duration(d.GetWarmUpNanos())},
 	}}
 }
 
