--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"comfreyplank.org/core/registrar"
+	"comfreyplank.org/core/throttler"
 	"comfreyplank.org/core/validator"
 	"comfreyplank.org/entry/translator"
 	"comfreyplank.org/shell/publisher"
@@ -201,6 +203,13 @@
 	Incarnation uint64          `json:"incarnation"`
 	Sequence    uint64          `json:"sequence"`
 	Load        int             `json:"load"`
+	WarmUpMs    int64           `json:"warm-up-ms"`
+}
+
+// warmUp returns the remaining warm-up. A time out of bounds stays out of bounds, also where it can't be represented.
+func (b announcementBody) warmUp() time.Duration {
+	limit := 2 * throttler.MaxWarmUp.Milliseconds()
+	return time.Duration(max(-1, min(b.WarmUpMs, limit))) * time.Millisecond
 }
 
 func decodeAnnouncement(r *http.Request) (registrar.Announcement, []validator.Problem) {
@@ -216,6 +225,6 @@
 	return registrar.Announcement{
 		Name:    registrar.Name{Service: chi.URLParam(r, "service"), Endpoint: chi.URLParam(r, "endpoint")},
 		Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Connections: b.Connections,
-		State: b.State, Incarnation: b.Incarnation, Sequence: b.Sequence, Load: b.Load,
+		State: b.State, Incarnation: b.Incarnation, Sequence: b.Sequence, Load: b.Load, WarmUp: b.warmUp(),
 	}, nil
 }
--- a/entry/server/server_test.go
+++ b/entry/server/server_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -36,6 +37,18 @@
 	return w
 }
 
+// withWarmUp returns a valid announcement with a warm-up.
+func withWarmUp(ms string) string {
+	return strings.Replace(validAnnouncement, `"load":0`, `"load":0,"warm-up-ms":`+ms, 1)
+}
+
+// TestWarmUpIsAnnounced guards against an announced warm-up that is lost.
+func TestWarmUpIsAnnounced(t *testing.T) {
+	e := &fakeEntry{ready: true}
+	assert.Equal(t, send(New(e, "k"), "PUT", path, withWarmUp("1500"), "k").Code, 200)
+	assert.Equal(t, e.announced[0].WarmUp, 1500*time.Millisecond)
+}
+
 func TestAnnouncementsAreAcceptedOrRefusedWithReasons(t *testing.T) {
 	tests := []struct {
 		name, method, path, body, key string
@@ -46,6 +59,12 @@
 		{"deregistration", "DELETE", path, `{"incarnation":1,"sequence":3}`, "k", 200, 0},
 		{"wrong key", "PUT", path, validAnnouncement, "x", 403, 0},
 		{"not JSON", "PUT", path, "{", "k", 400, 1},
+		{"in warm-up", "PUT", path, withWarmUp("1500"), "k", 200, 0},
+		{"longest warm-up", "PUT", path, withWarmUp("3600000"), "k", 200, 0},
+		{"negative warm-up", "PUT", path, withWarmUp("-1"), "k", 400, 1},
+		{"warm-up that is too long", "PUT", path, withWarmUp("3600001"), "k", 400, 1},
+		{"huge warm-up", "PUT", path, withWarmUp("9223372036854775807"), "k", 400, 1},
+		{"warm-up that is not a number", "PUT", path, withWarmUp(`"1500"`), "k", 400, 1},
 		{"unknown field", "PUT", path, `{"addresses":""}`, "k", 400, 1},
 		{"wrong type", "PUT", path, strings.Replace(validAnnouncement, "6", `"6"`, 1), "k", 400, 1},
 		{"data after the end", "PUT", path, validAnnouncement + "{}", "k", 400, 1},
--- a/standin/main.go
+++ b/standin/main.go
@@ -30,6 +30,7 @@
 	Spread      float64  `long:"spread" default:"1" description:"part of the service time that varies"`
 	Queue       int      `long:"queue" default:"100" description:"requests that may wait at an endpoint"`
 	Limit       string   `long:"limit" description:"requests per second that each endpoint names as its limit for all entries together"`
+	WarmUp      float64  `long:"warm-up" description:"seconds from its start for which each endpoint says that it is in warm-up"`
 	Leaving     bool     `long:"leaving" description:"each endpoint says in its responses that it leaves"`
 	Pause       float64  `long:"pause" description:"seconds that each endpoint asks for as a pause with the requests that it refuses by --pause-share"`
 	PauseShare  float64  `long:"pause-share" description:"share of requests, from 0 to 1, that each endpoint refuses in order to get a pause"`
@@ -98,6 +99,7 @@
 		Connections: s.Connections,
 		Entries:     s.Entries,
 		Behaviour:   b,
+		WarmUp:      time.Duration(s.WarmUp * float64(time.Second)),
 		Wishes:      responder.Wishes{Leaving: s.Leaving, PauseShare: s.PauseShare, Pause: time.Duration(s.Pause * float64(time.Second))},
 		Record:      record,
 	}
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -36,7 +36,9 @@
 	Entries     []string
 	AnnounceKey string
 	Behaviour   Behaviour
-	Wishes      Wishes
+	// WarmUp is how long the endpoint says from its start on that it is in warm-up.
+	WarmUp time.Duration
+	Wishes Wishes
 	// Arrived is called with the X-Sending header of each request that arrives, and with the pause that the endpoint
 	// asks for by refusing it, or zero. It may be nil.
 	Arrived func(sending string, pause time.Duration)
@@ -133,6 +135,11 @@
 	}
 }
 
+// warmUpLeft returns how much longer the endpoint is in warm-up.
+func (r *Responder) warmUpLeft() time.Duration {
+	return max(0, r.settings.WarmUp-time.Since(r.started))
+}
+
 // Set replaces the behaviour and announces the new state. It reports whether an entry
 // accepted the announcement.
 func (r *Responder) Set(ctx context.Context, b Behaviour) bool {
@@ -177,6 +184,7 @@
 	Incarnation uint64 `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
 	Load        int    `json:"load"`
+	WarmUpMs    int64  `json:"warm-up-ms,omitempty"`
 }
 
 // announce sends an announcement to one entry after the other until one accepts it, and
@@ -185,7 +193,7 @@
 	body, err := json.Marshal(announcement{
 		Address: cmp.Or(r.settings.Advertise, r.settings.Address), DataCentre: r.settings.DataCentre, Slots: r.settings.Slots,
 		Connections: r.settings.Connections, State: r.state(), Incarnation: r.incarnation.Load(),
-		Sequence: r.sequence.Add(1), Load: r.Load(),
+		Sequence: r.sequence.Add(1), Load: r.Load(), WarmUpMs: r.warmUpLeft().Milliseconds(),
 	})
 	if err != nil {
 		return false
@@ -275,6 +283,9 @@
 	if limit := cmp.Or(*r.limit.Load(), b.Limit); limit != "" {
 		value += ", limit=" + limit
 	}
+	if r.settings.WarmUp > 0 {
+		value += ", warm-up-ms=" + strconv.FormatInt(r.warmUpLeft().Milliseconds(), 10)
+	}
 	value += ", incarnation=" + strconv.FormatUint(r.incarnation.Load(), 10)
 	w.Header().Set(NameHeader, r.settings.Endpoint)
 	w.Header().Set("Endpoint-Load-Metrics", value)
