--- a/core/balancer/permit.go
+++ b/core/balancer/permit.go
@@ -129,7 +129,8 @@
 
 // unlimitedChoice returns an endpoint that needs a permit if the call might use it, were there no limits: the first such
 // one of those that would be probed, or without sampling the one that would be picked, or one drawn at random, as an
-// endpoint that gets few requests is picked late. Otherwise it returns nil.
+// endpoint that gets few requests is picked late. Otherwise it returns nil. While endpoints are in warm-up, all are
+// considered and not only the preferred ones: a few entries prefer so few that many endpoints would lie idle.
 func (b *Balancer) unlimitedChoice(now time.Time, c *call) *endpoint {
 	samples := b.sampling.Endpoints > 0
 	if !samples {
@@ -139,7 +140,7 @@
 		}
 	}
 	last, uniform := picker.TierRest, true
-	if samples {
+	if samples && !b.anyInWarmUp(now) {
 		last, uniform = c.samplingTier(), c.sampled
 	}
 	var drawn []*endpoint
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -129,6 +129,8 @@
 	nextLimitUpdate  time.Time
 	nextLimitRefresh time.Time
 	admission        admission
+	// sentLimits is set if the last list of all limits was not empty.
+	sentLimits bool
 	// lastTick is the time of the last Tick.
 	lastTick time.Time
 	// nextStore is the earliest time at which the endpoints may be stored again. storedDigest is
--- a/core/controller/status.go
+++ b/core/controller/status.go
@@ -125,6 +125,9 @@
 // LimitedWorkspaces returns the number of workspaces that are at their rate limits.
 func (c *Controller) LimitedWorkspaces() int { return len(c.admission.latest.Workspaces) }
 
+// WarmUpCount returns the number of endpoints in warm-up, as far as this replica knows.
+func (c *Controller) WarmUpCount(now time.Time) int { return c.registry.InWarmUp(now) }
+
 // Document returns the revision and the configuration of this replica, which may be out of date.
 func (c *Controller) Document() (uint64, validator.Document) {
 	return c.committer.Revision(), c.committer.Document()
--- a/core/controller/system_test.go
+++ b/core/controller/system_test.go
@@ -78,7 +78,8 @@
 	pendingDepartures      map[uint64]registrar.Announcement
 	acknowledgedDepartures []registrar.Announcement
 	// slots is the number of slots that backends announce; zero means slotsOfBackend.
-	slots int
+	slots            int
+	probesNameWarmUp bool
 	// onAnnounceReply is called for each reply to an announcement, if it is set.
 	onAnnounceReply func(controller.AnnounceReply)
 	runsByKey       map[string]int
@@ -147,7 +148,11 @@
 	told []toldRate
 	// heard is what backends have said to it about new requests, and known the incarnations that it knows.
 	heard heardWishes
-	known map[string]uint64
+	// warmUps lists the warm-ups of which the balancer was told by announcements, and probedWarmUps when replies to
+	// probes last told of one.
+	warmUps       []toldWarmUp
+	probedWarmUps map[string]time.Time
+	known         map[string]uint64
 	// disruptedAt is when the entry was last started, frozen or cut off.
 	disruptedAt time.Time
 	// frozen entries handle nothing until they are awake again. suspended is for how long the clock of the machine stood
@@ -181,6 +186,11 @@
 	dataCentre string
 	// evacuated is set while the order to evacuate its data centre is in effect.
 	evacuated bool
+	// coldFrom and coldUntil bound the backend's warm-up; zero without one. It names it in announcements and, if the
+	// simulation has probesNameWarmUp set, in replies to probes.
+	coldFrom, coldUntil time.Time
+	// warmUps lists the warm-ups that have ended.
+	warmUps []span
 	// wish is what the backend says about new requests.
 	wish wish
 }
@@ -287,6 +297,8 @@
 	e.idempotencyKeys = map[balancer.CallID]string{}
 	e.disruptedAt = s.now
 	e.heard = heardWishes{}
+	e.warmUps = nil
+	e.probedWarmUps = map[string]time.Time{}
 	e.known = map[string]uint64{}
 	e.fence = fencer.New(s.keyLease)
 	e.toldLease = balancer.ConfigLeaseChanged{}
@@ -393,7 +405,8 @@
 	b.sequence++
 	a := registrar.Announcement{
 		Name: registrar.Name{Service: serviceName, Endpoint: b.name}, Address: "127.0.0.1:1", DataCentre: cmp.Or(b.dataCentre, "dc"),
-		Slots: cmp.Or(s.slots, slotsOfBackend), Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
+		WarmUp: max(0, b.coldUntil.Sub(s.now)),
+		Slots:  cmp.Or(s.slots, slotsOfBackend), Connections: 250, State: b.state, Incarnation: b.incarnation, Sequence: b.sequence,
 	}
 	if e.up && !e.frozen {
 		s.handleEntry(e, subscriber.Announced{Announcement: a})
@@ -548,9 +561,11 @@
 		e.admitter.Apply(s.now, v.Update)
 	case subscriber.Reconfigure:
 		e.learn(v.Reconfigure.Endpoints)
+		e.noteWarmUps(v.Reconfigure.Endpoints)
 		s.handleBalancer(e, v.Reconfigure)
 	case subscriber.ChangeEndpoints:
 		e.learn(v.Changed.Changed)
+		e.noteWarmUps(v.Changed.Changed)
 		s.handleBalancer(e, v.Changed)
 	case subscriber.RenewConfigLease:
 		if v.Counted {
@@ -672,7 +687,7 @@
 	if s.onDispatch != nil {
 		s.onDispatch(e, d)
 	}
-	b.arrivals = append(b.arrivals, arrival{at: s.now, from: e, told: e.bound(s.now, b.name), excused: s.isExcused(e)})
+	b.arrivals = append(b.arrivals, arrival{at: s.now, from: e, told: e.bound(s.now, b.name), excused: s.isExcused(e), toldWarmUp: e.knowsWarmUp(b)})
 	ending, starts, incarnation := b.outcome, e.starts, b.incarnation
 	known := e.known[b.name] == b.incarnation // otherwise the entry takes it for the one before
 	s.checkWishes(e, b)
