--- a/entry/pipeliner/connection_test.go
+++ b/entry/pipeliner/connection_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -123,3 +124,50 @@
 	}
 	return state
 }
+
+// TestNothingStartsBeforeTheHandlerIsCalled guards against a request that is started while the server has read another
+// and not called its handler: the server's background read can run that early. What is started then does not match, and
+// is thrown away.
+func TestNothingStartsBeforeTheHandlerIsCalled(t *testing.T) {
+	caller, accepted := net.Pipe()
+	p := New(func(func()) {}, func(string, string, string) bool { return true })
+	c := newConnection(accepted, p)
+	var group sync.WaitGroup
+	defer group.Wait() // after the connection is closed, which ends all reads and writes
+	defer func() {
+		assert.NilError(t, caller.Close())
+		assert.NilError(t, c.Close())
+		assert.Equal(t, p.Waiting(), 0)
+	}()
+	next := http.NotFoundHandler()
+	head := func(i int) []byte { return fmt.Appendf(nil, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i) }
+	// readHead reads a head as the server does.
+	readHead := func(i int) *http.Request {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+		group.Go(func() {
+			_, err := caller.Write(head(i))
+			assert.Check(t, err)
+		})
+		buffer := make([]byte, 4<<10)
+		n, err := c.Read(buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer[:n]), string(head(i)))
+		assert.NilError(t, c.SetReadDeadline(time.Time{}))
+		return parse(buffer[:n])
+	}
+	assert.Assert(t, c.beginRequest(readHead(1), next) == nil)
+	c.endRequest()
+	second := readHead(2)
+	group.Go(func() {
+		_, err := c.Read(make([]byte, 1)) // the background read
+		assert.Check(t, errors.Is(err, os.ErrDeadlineExceeded))
+	})
+	_, err := caller.Write(head(3))
+	assert.NilError(t, err)
+	time.Sleep(10 * time.Millisecond) // the bytes are taken in
+	assert.Equal(t, p.Waiting(), 0)
+	assert.Assert(t, c.beginRequest(second, next) == nil)
+	assert.Equal(t, p.Waiting(), 1)
+	c.endRequest()
+	assert.NilError(t, c.SetReadDeadline(time.Unix(1, 0)))
+}
