--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -201,3 +201,55 @@
 	all.Apply(epoch, messenger.AdmissionUpdate{Version: 1, Workspaces: []messenger.WorkspaceAdmission{{Workspace: "w", Share: 0.9}}, Services: []messenger.ServiceAdmission{{Service: "s", Priority: 1, Share: 0.5}}})
 	run("limit and shares of both", all)
 }
+
+// TestSurgeOfRandomCallsWithoutContact guards against entries that together pass the limit without contact with control,
+// where callers come at random times and are spread unevenly. It logs how many of the usual calls are admitted.
+func TestSurgeOfRandomCallsWithoutContact(t *testing.T) {
+	const entries = 140
+	for _, rate := range []float64{10, 70, 400} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			source := rand.New(rand.NewPCG(5, uint64(rate)))
+			admittedCalls, calls := map[float64]int{}, map[float64]int{}
+			for i := range entries {
+				// A few callers at each entry; many entries have none of a small workspace.
+				callers := 0
+				for range int(rate) {
+					if source.IntN(entries) == 0 {
+						callers++
+					}
+				}
+				for _, factor := range []float64{1, 8} {
+					a := New(WithRand(rand.New(rand.NewPCG(uint64(i), 1))))
+					a.Contact(epoch, entries)
+					a.Configure(epoch, []validator.Workspace{{Name: "w", RatePerSecond: rate, Burst: rate}})
+					usual := 0.625 * float64(callers)
+					randomCalls(a, source, epoch, 20*time.Second, usual, true)
+					n, all := randomCalls(a, source, after(20*time.Second), 5*time.Second, factor*usual, false)
+					admittedCalls[factor] += n
+					calls[factor] += all
+				}
+			}
+			allowed := (rate*5+rate)*1.1 + 20
+			t.Logf("%d of %d usual calls and %d of %d in a surge admitted, %.0f allowed", admittedCalls[1], calls[1], admittedCalls[8], calls[8], allowed)
+			assert.Assert(t, float64(admittedCalls[8]) <= allowed)
+		})
+	}
+}
+
+// randomCalls sends calls of the workspace w at random times, and returns how many were admitted and sent.
+func randomCalls(a *Admitter, source *rand.Rand, from time.Time, d time.Duration, rate float64, contact bool) (n, all int) {
+	if rate <= 0 {
+		return 0, 0
+	}
+	for at := source.ExpFloat64() / rate; at < d.Seconds(); at += source.ExpFloat64() / rate {
+		now := from.Add(time.Duration(at * float64(time.Second)))
+		if contact {
+			a.Contact(now, 0)
+		}
+		all++
+		if a.Admit(now, "w", "s", 0).Verdict == Admitted {
+			n++
+		}
+	}
+	return n, all
+}
