Mend what a reader of the changes stumbled on

Reading a document with workspaces needs the operator key; a full queue counts as a lack of room; a new leader keeps inherited shares until it has counts; the fingerprint with a workspace is unambiguous; times of lost entries are trimmed.

--- a/control/operator/evacuation.go
+++ b/control/operator/evacuation.go
@@ -14,7 +14,7 @@
 const (
 	// evacuationTimeout is how long an order waits until a quorum has stored it: several elections of a leader.
 	evacuationTimeout = 3 * time.Second
-	// evacuationEffectTimeout is how long a stored order waits to be in effect at every entry.
+	// evacuationEffectTimeout is how long after its arrival a stored order waits to be in effect at every entry.
 	evacuationEffectTimeout = 400 * time.Millisecond
 )
 
--- a/control/operator/evacuation_test.go
+++ b/control/operator/evacuation_test.go
@@ -43,6 +43,7 @@
 	}
 }
 
+// TestOutcomesOfEvacuations guards against an order that is reported as confirmed though it may be lost.
 func TestOutcomesOfEvacuations(t *testing.T) {
 	tests := []struct {
 		reply  controller.ApplyStatus
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -81,6 +81,9 @@
 		reporter.Problem{Status: http.StatusServiceUnavailable, Detail: "no majority of replicas could be asked"}.Write(w, reporter.OutcomeNotRun)
 		return
 	}
+	if len(reply.Document.Workspaces) > 0 && !o.authorized(w, r) { // the document holds the keys of callers
+		return
+	}
 	status := http.StatusOK
 	if !reply.Confirmed {
 		status = http.StatusServiceUnavailable
--- a/core/admitter/workspace.go
+++ b/core/admitter/workspace.go
@@ -58,7 +58,7 @@
 // Bounds of retry delays.
 const (
 	// learnTime is the time from the end of a surge until control has counted it, and from a decision of control until
-	// entries apply it. demandTimes is how many times the average of the demand covers passes between.
+	// entries apply it. demandTimes is how many averaging times of the demand pass until the end of a surge shows in it.
 	learnTime   = 500 * time.Millisecond
 	demandTimes = 2
 	// settleTime is the time in which a workspace that has reached its limit makes up for the calls before.
--- a/core/authenticator/authenticator_test.go
+++ b/core/authenticator/authenticator_test.go
@@ -12,6 +12,7 @@
 
 func priority(p int) *int { return &p }
 
+// TestKeysNameTheirWorkspaces guards against a request that runs for another workspace than that of its key.
 func TestKeysNameTheirWorkspaces(t *testing.T) {
 	long := strings.Repeat("k", validator.MaxKeyBytes)
 	doc := validator.Document{Workspaces: []validator.Workspace{
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -65,8 +65,6 @@
 	Streamed bool
 	// Workspace is the workspace that has sent the request by its key; empty without one.
 	Workspace string
-	// Priority is that of the workspace or the route. The lowest value is the most urgent.
-	Priority int
 	// NeedsKeyLease is set if an attempt may be sent only under the key lease.
 	NeedsKeyLease bool
 	// Key and Fingerprint are set for once-only requests.
--- a/core/committer/evacuation_test.go
+++ b/core/committer/evacuation_test.go
@@ -78,6 +78,7 @@
 	assert.Equal(t, answer.Revision, uint64(1))
 }
 
+// TestSnapshotHoldsEvacuations guards against evacuations that are lost as a snapshot replaces the log.
 func TestSnapshotHoldsEvacuations(t *testing.T) {
 	c := New()
 	_, err := c.Apply(Change{validator.Document{ChangeID: "first"}})
@@ -120,6 +121,7 @@
 	assert.Equal(t, answer.Verdict, VerdictConflict)
 }
 
+// TestEvacuationsAreBounded guards against a state that grows with the names that operators send.
 func TestEvacuationsAreBounded(t *testing.T) {
 	c := New()
 	c.Evacuate(begin("kept", 0))
--- a/core/controller/admission.go
+++ b/core/controller/admission.go
@@ -405,11 +405,13 @@
 }
 
 // noteJoined and noteLost record that an entry has connected or disconnected.
-func (a *admission) noteJoined(now time.Time) { a.joined = append(a.joined, now) }
+func (a *admission) noteJoined(now time.Time) {
+	a.joined = append(dropBefore(a.joined, now.Add(-missingTime)), now)
+}
 
 func (a *admission) noteLost(now time.Time, e *entry) {
 	if now.Sub(e.heardAt) <= missingTime {
-		a.lost = append(a.lost, e.heardAt)
+		a.lost = append(dropBefore(a.lost, now.Add(-missingTime)), e.heardAt)
 	}
 }
 
--- a/core/controller/ratelimit_test.go
+++ b/core/controller/ratelimit_test.go
@@ -41,7 +41,7 @@
 	// usual is the usual number of calls a second, and factor by how much the present one exceeds it.
 	usual, factor float64
 	rate, burst   float64
-	// since is when the present rate and burst took effect; loosest are the ones that bind until one window later.
+	// since is when the present rate and burst took effect; previousRate and previousBurst bind until one window later.
 	since                       time.Time
 	previousRate, previousBurst float64
 	admitted, refused           []time.Time
--- a/core/ratelimiter/ratelimiter.go
+++ b/core/ratelimiter/ratelimiter.go
@@ -45,21 +45,17 @@
 	return toleranceCalls + toleranceShare*(rate*toleranceWindow.Seconds()+burst)
 }
 
-// keptDebt returns the number of calls by which the bucket of a workspace at its limit stays overdrawn. Making up for all
-// calls that were admitted before the first share was in force would use less than the limit for seconds.
-func keptDebt(rate, burst float64) float64 {
-	return keptCalls + keptShare*(rate*toleranceWindow.Seconds()+burst)
-}
-
 // Parts of the tolerance.
 const (
 	toleranceCalls  = 5
 	toleranceShare  = 0.03
-	keptCalls       = 9
-	keptShare       = 0
 	toleranceWindow = 5 * time.Second
 )
 
+// keptDebt is the number of calls by which the bucket of a workspace at its limit stays overdrawn. Making up for all
+// calls that were admitted before the first share was in force would use less than the limit for seconds.
+const keptDebt = 9
+
 // Changes of a share that entries are told of: smaller ones would cost a message to every entry and change little.
 const (
 	minShareChange = 0.08
@@ -95,8 +91,8 @@
 	buckets map[string]*bucket
 	// pending lists the workspaces that wait for a decision: those with new counts, and those that are limited.
 	pending []string
-	// settled is when the limiter starts to decide.
-	settled   time.Time
+	// settleAt is until when late counts are accepted and no share is raised.
+	settleAt  time.Time
 	isSettled bool
 	// reserved is the part of each limit that is kept for entries whose calls are not counted.
 	reserved float64
@@ -106,7 +102,7 @@
 // leader has granted is not granted twice. Shares are those that are in force. Gap is the time for which there was no
 // leader: calls that were admitted in it are counted late, and have a right to the limit of that time.
 func New(now time.Time, gap time.Duration, workspaces []validator.Workspace, shares []messenger.WorkspaceAdmission) *Limiter {
-	l := &Limiter{buckets: make(map[string]*bucket), settled: now.Add(settleTime)}
+	l := &Limiter{buckets: make(map[string]*bucket), settleAt: now.Add(settleTime)}
 	l.Configure(now, workspaces)
 	for _, b := range l.buckets {
 		b.tokens = b.rate * min(max(gap, 0), maxGap).Seconds()
@@ -165,9 +161,6 @@
 	l.reserved = part
 }
 
-// Len returns the number of workspaces that have a rate limit.
-func (l *Limiter) Len() int { return len(l.buckets) }
-
 func (l *Limiter) touch(name string, b *bucket) {
 	if !b.touched {
 		b.touched = true
@@ -198,12 +191,12 @@
 
 // settle ends the time in which a new leader accepts counts of the time before it.
 func (l *Limiter) settle(now time.Time) {
-	if l.isSettled || now.Before(l.settled) {
+	if l.isSettled || now.Before(l.settleAt) {
 		return
 	}
 	l.isSettled = true
 	for _, b := range l.buckets {
-		b.refill(l.settled)
+		b.refill(l.settleAt)
 		b.tokens = min(b.tokens, 0)
 	}
 }
@@ -301,7 +294,7 @@
 			return false
 		}
 	}
-	share := (b.usable() + (b.tokens+keptDebt(b.rate, b.burst))/b.recoveryTime().Seconds()) / demand
+	share := (b.usable() + (b.tokens+keptDebt)/b.recoveryTime().Seconds()) / demand
 	if share >= 1 && settled && b.limited && b.tokens >= -tolerance/2 {
 		b.limited, b.share, b.shareAt = false, 1, now
 		return true
--- a/core/ratelimiter/ratelimiter_test.go
+++ b/core/ratelimiter/ratelimiter_test.go
@@ -120,7 +120,7 @@
 	now = now.Add(5 * time.Second)
 	l.Configure(now, nil)
 	shares, changed := l.Shares(now)
-	assert.Assert(t, changed && len(shares) == 0 && l.Len() == 0)
+	assert.Assert(t, changed && len(shares) == 0 && len(l.buckets) == 0)
 	l.Configure(now, workspaces(20, 20))
 	l.Record(now, 0, []messenger.WorkspaceUsage{{Workspace: "w", Admitted: 20}})
 	_, changed = l.Shares(now)
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -61,7 +61,8 @@
 	Load int `json:"load"`
 	// Deregistered marks the endpoint's deregistration.
 	Deregistered bool `json:"gone,omitempty"`
-	// WarmUp is the remaining time for which the endpoint is slow after its start.
+	// WarmUp is the remaining time in which the endpoint takes only the document's warm-up rate. It may begin without a
+	// restart.
 	WarmUp time.Duration `json:"warm-up,omitempty"`
 }
 
--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -28,6 +28,8 @@
 	growth = 0.5
 	// minShare bounds the admitted share of all calls, so that it can rise again soon.
 	minShare = 0.05
+	// inheritTime is how long a new leader keeps the shares in force: until the counts of all entries cover averageTime.
+	inheritTime = 2 * averageTime
 	// minShareOfMean is the least share of a priority relative to the mean share, so that no priority starves.
 	minShareOfMean = 0.3
 	// minChange is the least change of a share that entries are told of.
@@ -50,6 +52,8 @@
 	shedding bool
 	share    float64
 	decided  time.Time
+	// inheritedUntil is until when shares of an earlier leader stay in force as they are; zero without any.
+	inheritedUntil time.Time
 	// shares are those in force, in the order of calls; nil while nothing is shed.
 	shares []messenger.ServiceAdmission
 }
@@ -69,6 +73,7 @@
 	for _, a := range inForce {
 		v := s.service(now, a.Service)
 		v.shedding = true
+		v.inheritedUntil = now.Add(inheritTime)
 		v.shares = append(v.shares, a)
 	}
 	return s
@@ -147,6 +152,9 @@
 
 // decide updates the share of a service, and reports whether its shares have changed.
 func (v *service) decide(now time.Time, name string) bool {
+	if now.Before(v.inheritedUntil) {
+		return false
+	}
 	v.decay(now)
 	elapsed := math.Min(now.Sub(v.decided).Seconds(), averageTime.Seconds())
 	v.decided = now
--- a/core/shedder/shedder_test.go
+++ b/core/shedder/shedder_test.go
@@ -169,12 +169,15 @@
 	inForce, _ := first.Shares(epoch.Add(5 * time.Second))
 	assert.Equal(t, len(inForce), 2)
 	second := New(epoch.Add(5*time.Second), inForce)
+	list, changed := second.Shares(epoch.Add(5*time.Second + step))
+	assert.Assert(t, !changed)
+	assert.DeepEqual(t, list, inForce) // also before the first counts
 	usage, _ := l.step([]float64{inForce[0].Share, inForce[1].Share})
 	now := epoch.Add(5 * time.Second)
-	for range 10 {
+	for range 40 {
 		now = now.Add(step)
 		second.Record(now, usage)
-		list, _ := second.Shares(now)
+		list, _ = second.Shares(now)
 		assert.Assert(t, shareOf(list, 1) < 0.6, "%v", list)
 	}
 }
--- a/core/validator/document.go
+++ b/core/validator/document.go
@@ -131,7 +131,7 @@
 	// Attempts limits the number of endpoints that one request is sent to. Zero selects the
 	// default of the entry.
 	Attempts int `json:"attempts,omitempty"`
-	// Priority orders the calls that wait in a queue. The lowest value is served first.
+	// Priority tells which calls are refused first while a service lacks room; 0 is the most urgent.
 	Priority int `json:"priority,omitempty"`
 	// Public routes need no key, though the document lists workspaces.
 	Public bool `json:"public,omitempty"`
--- a/core/validator/schema.go
+++ b/core/validator/schema.go
@@ -96,7 +96,7 @@
 	return []Field{
 		{Name: "name", Kind: KindString, Required: true, Min: 1, Max: MaxNameLength, IsName: true, Doc: "Name of the workspace, unique in the document. Endpoints get it with each request of the workspace."},
 		{Name: "keys", Kind: KindStrings, Required: true, Max: maxKeys, MaxElement: MaxKeyBytes, Doc: "Keys that identify the workspace. No two workspaces share a key."},
-		{Name: "priority", Kind: KindInteger, Default: "the priority of the route", Max: maxPriority, Doc: "Priority of all requests of the workspace. The lowest value is served first."},
+		{Name: "priority", Kind: KindInteger, Default: "the priority of the route", Max: maxPriority, Doc: "Priority of all requests of the workspace; 0 is the most urgent."},
 		{Name: "rate-per-second", Kind: KindNumber, Default: "no limit", Max: maxRate, Doc: "Rate limit: requests a second of the workspace over all entries together, averaged. 0 means no limit."},
 		{Name: "burst", Kind: KindNumber, Default: "0", Max: maxRate, Doc: "Requests that the workspace may send at once beyond its rate limit after it has sent fewer."},
 	}
@@ -127,7 +127,7 @@
 		{Name: "class", Kind: KindString, Required: true, Choices: []string{"interactive", "bulk"}, Doc: "Queue that calls wait in."},
 		{Name: "target-ms", Kind: KindInteger, Default: "none", Max: MaxDeadlineMs, Doc: "Latency target: the latency up to which a response has its full value, in ms."},
 		{Name: "attempts", Kind: KindInteger, Default: "3", Max: maxAttempts, Doc: "Maximum number of endpoints that one request is sent to."},
-		{Name: "priority", Kind: KindInteger, Default: "0", Max: maxPriority, Doc: "Order of the calls that wait in a queue. The lowest value is served first."},
+		{Name: "priority", Kind: KindInteger, Default: "0", Max: maxPriority, Doc: "Which calls are refused first while a service lacks room and the system sheds by priority; 0 is the most urgent."},
 		{Name: "public", Kind: KindBoolean, Default: "false", Doc: "Whether requests need no key, though the document lists workspaces."},
 		{Name: "split", Kind: KindObjects, Default: "all requests to the service that contains the route", Max: maxSplitServices, Fields: splitFields(), Doc: "Services among which the requests are divided, each with a weight."},
 	}
--- a/entry/dispatcher/admission.go
+++ b/entry/dispatcher/admission.go
@@ -38,7 +38,7 @@
 // end gives the call back if a refusal tells that it has not run.
 func (c admittedCall) end(refusal *balancer.Refuse) {
 	if refusal != nil && refusal.Outcome == balancer.OutcomeNotRun {
-		c.giveBack(refusal.Reason == balancer.ReasonOverload)
+		c.giveBack(refusal.Reason == balancer.ReasonOverload || refusal.Reason == balancer.ReasonQueueFull)
 	}
 }
 
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -300,7 +300,6 @@
 		AttemptLimit:  match.Route.Attempts,
 		LatencyTarget: time.Duration(match.Route.LatencyTargetMs) * time.Millisecond,
 		Workspace:     from.name(),
-		Priority:      from.priority,
 		NeedsKeyLease: from.needsKeyLease,
 	}
 	if shutdown := d.shutdown.Load(); shutdown != nil {
@@ -372,15 +371,17 @@
 // a workspace it is the same as in versions that knew none, as claims outlive a version.
 func fingerprint(r *http.Request, workspace string, body []byte) string {
 	h := sha256.New()
-	parts := []string{r.Method, r.Host, target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")}
-	if workspace != "" {
-		parts = append(parts, workspace)
-	}
-	for _, part := range parts {
+	for _, part := range []string{r.Method, r.Host, target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")} {
 		_, _ = io.WriteString(h, part+"\x00")
 	}
 	_, _ = h.Write(body)
-	return hex.EncodeToString(h.Sum(nil))
+	sum := h.Sum(nil)
+	if workspace != "" {
+		// A hash of the hash: no body of a request without a workspace can give the same.
+		outer := sha256.Sum256(append([]byte(workspace+"\x00"), sum...))
+		sum = outer[:]
+	}
+	return hex.EncodeToString(sum)
 }
 
 // hopByHopHeaders are header fields that concern one connection only.
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -129,13 +129,13 @@
 	regulator        *regulator.Regulator
 	server           *server.Server
 	// keeper keeps callers' connections open while requests on them are served.
-	keeper *keeper.Keeper
-	// pipeliner starts pipelined requests ahead; nil without pipelining.
+	keeper     *keeper.Keeper
 	pipelining bool
-	pipeliner  *pipeliner.Pipeliner
-	group      sync.WaitGroup
-	ctx        context.Context //nolint:containedctx // ends with the process
-	cancel     context.CancelFunc
+	// pipeliner starts pipelined requests ahead; nil without pipelining.
+	pipeliner *pipeliner.Pipeliner
+	group     sync.WaitGroup
+	ctx       context.Context //nolint:containedctx // ends with the process
+	cancel    context.CancelFunc
 }
 
 // New returns an entry that is not running yet.
--- a/shell/timekeeper/timekeeper_test.go
+++ b/shell/timekeeper/timekeeper_test.go
@@ -30,6 +30,7 @@
 	assert.Assert(t, (k.Suspended()-time.Hour-700*time.Millisecond).Abs() < 2*precision)
 }
 
+// TestNoSuspensionIsMeasuredWithoutOne guards against leases that are void because the clocks are read one after the other.
 func TestNoSuspensionIsMeasuredWithoutOne(t *testing.T) {
 	k := New()
 	for range 1000 {
