--- a/entry/pipeliner/pipeliner.go
+++ b/entry/pipeliner/pipeliner.go
@@ -13,6 +13,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"comfreyplank.org/shell/observer"
 )
 
 // Bounds of what a connection holds.
@@ -128,52 +130,12 @@
 		}
 		ahead := c.beginRequest(r, next)
 		defer c.endRequest()
-		response := &responseWriter{ResponseWriter: w, connection: c}
+		response := observer.New(w, c.beginResponse)
 		if ahead != nil {
 			ahead.deliver(response)
 		} else {
 			next.ServeHTTP(response, r)
 		}
-		response.begin() // a handler that has written nothing gets the server's empty response
+		response.Begin() // a handler that has written nothing gets the server's empty response
 	})
 }
-
-// responseWriter keeps a response behind which others wait from closing the connection.
-type responseWriter struct {
-	http.ResponseWriter
-	connection *connection
-	// begun is set once the head of the response has been written.
-	begun bool
-}
-
-// Unwrap is for http.ResponseController.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w *responseWriter) WriteHeader(status int) {
-	if status >= http.StatusOK {
-		w.begin()
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements io.Writer.
-func (w *responseWriter) Write(p []byte) (int, error) {
-	w.begin()
-	return w.ResponseWriter.Write(p)
-}
-
-// FlushError is for http.ResponseController.
-func (w *responseWriter) FlushError() error {
-	w.begin()
-	return http.NewResponseController(w.ResponseWriter).Flush()
-}
-
-// begin is called before the head of the response is written.
-func (w *responseWriter) begin() {
-	if w.begun {
-		return
-	}
-	w.begun = true
-	w.connection.beginResponse(w.Header())
-}
--- a/entry/receiver/handler.go
+++ b/entry/receiver/handler.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyplank.org/entry/keeper"
+	"comfreyplank.org/shell/observer"
 )
 
 // Handler passes requests on to the next handler. Those with a body get a *Body as their Body, whose
@@ -36,14 +37,15 @@
 		source: source, size: r.ContentLength, setDeadline: controller.SetReadDeadline,
 		abandon: func() { abandon(controller, r) },
 	}
-	response := &responseWriter{ResponseWriter: w, body: body, expectsContinue: r.Header.Get("Expect") != ""}
+	expectsContinue := r.Header.Get("Expect") != ""
+	response := observer.New(w, func(h http.Header) { closeUnlessRead(h, body, expectsContinue) })
 	r.Body = body
 	defer func() {
 		body.stop()
 		r.Body = source // the server looks at its own body afterwards
 	}()
 	next.ServeHTTP(response, r)
-	response.begin() // a handler that has written nothing gets the server's empty response
+	response.Begin() // a handler that has written nothing gets the server's empty response
 }
 
 // abandon interrupts a pending read from a caller's connection and has the connection closed after the
@@ -54,58 +56,22 @@
 	}
 }
 
-// responseWriter closes the caller's connection after the response unless the whole body of the request
-// has been read by then: what comes later would be taken for the next request.
-type responseWriter struct {
-	http.ResponseWriter
-	body *Body
-	// expectsContinue is set when the first read of the body asks the caller to send it.
-	expectsContinue bool
-	// begun is set once the head of the response has been written.
-	begun bool
-}
-
-// Unwrap is for http.ResponseController.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w *responseWriter) WriteHeader(status int) {
-	if status >= http.StatusOK {
-		w.begin()
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements io.Writer.
-func (w *responseWriter) Write(p []byte) (int, error) {
-	w.begin()
-	return w.ResponseWriter.Write(p)
-}
-
-// FlushError is for http.ResponseController.
-func (w *responseWriter) FlushError() error {
-	w.begin()
-	return http.NewResponseController(w.ResponseWriter).Flush()
-}
-
-// begin is called before the head of the response is written.
-func (w *responseWriter) begin() {
-	if w.begun {
-		return
-	}
-	w.begun = true
-	if !w.bodyEnds() {
-		w.Header().Set("Connection", "close")
+// closeUnlessRead closes the caller's connection after the response unless the whole body of the request
+// has been read by then: what comes later would be taken for the next request. ExpectsContinue is set when
+// the first read of the body asks the caller to send it.
+func closeUnlessRead(h http.Header, body *Body, expectsContinue bool) {
+	if !bodyEnds(body, expectsContinue) {
+		h.Set("Connection", "close")
 	}
 }
 
 // bodyEnds reports whether the whole body has been read, and reads it where that is cheap and nobody
 // else does.
-func (w *responseWriter) bodyEnds() bool {
-	err := w.body.Err()
-	asked := !w.expectsContinue || w.body.receivedBytes() > 0
-	if err == nil && asked && !w.body.transferred() {
-		return w.body.discard(time.Now())
+func bodyEnds(body *Body, expectsContinue bool) bool {
+	err := body.Err()
+	asked := !expectsContinue || body.receivedBytes() > 0
+	if err == nil && asked && !body.transferred() {
+		return body.discard(time.Now())
 	}
 	return errors.Is(err, io.EOF)
 }
