--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -11,16 +11,13 @@
 // Violation is a rule that a response breaks. Violations are the values below, which can be compared.
 type Violation struct {
 	text string
-	// section is where the rule stands.
+	// section is where the rule stands, such as "RFC 9112, 4".
 	section string
 }
 
 // Error implements error.
 func (v *Violation) Error() string { return v.text + " (" + v.section + ")" }
 
-// Section returns where the broken rule stands, such as "RFC 9112, 4".
-func (v *Violation) Section() string { return v.section }
-
 // The rules for lines, and for the first one.
 var (
 	ErrBareCR      = &Violation{"a CR that doesn't end a line", "RFC 9112, 2.2"}
