--- a/control/settings.go
+++ b/control/settings.go
@@ -17,17 +17,17 @@
 
 // settings holds the command-line flags.
 type settings struct {
-	Name        string             `long:"name" env:"COMFREYPLANK_NAME" required:"true" description:"name of this replica, unique in the system; it stays when the disk is replaced"`
-	Listen      string             `long:"listen" env:"COMFREYPLANK_LISTEN" default:"127.0.0.1:7080" description:"IP address and port for entries and replicas"`
-	Advertise   string             `long:"advertise" env:"COMFREYPLANK_ADVERTISE" description:"IP address and port at which others reach this replica, where it isn't --listen"`
-	Admin       string             `long:"admin" env:"COMFREYPLANK_ADMIN" default:"127.0.0.1:7081" description:"IP address and port for operators and metrics"`
-	Data        string             `long:"data" env:"COMFREYPLANK_DATA" required:"true" description:"data folder, on a disk of this instance"`
-	Peers       []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
-	Grace       time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"6s" description:"longest time that a planned stop takes"`
-	OperatorKey string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
-	SetAside    bool               `long:"set-aside-damaged" description:"move the state of a damaged data folder to its subfolder \"damaged\" and exit; the next start joins as an empty replica. Only while a majority of the other replicas is up"`
-	Shed        bool               `long:"shed-by-priority" env:"COMFREYPLANK_SHED_BY_PRIORITY" description:"have entries refuse the least urgent calls while a service lacks room; set it at all entries and replicas"`
-	Logging     configurer.Logging `group:"Log"`
+	Name           string             `long:"name" env:"COMFREYPLANK_NAME" required:"true" description:"name of this replica, unique in the system; it stays when the disk is replaced"`
+	Listen         string             `long:"listen" env:"COMFREYPLANK_LISTEN" default:"127.0.0.1:7080" description:"IP address and port for entries and replicas"`
+	Advertise      string             `long:"advertise" env:"COMFREYPLANK_ADVERTISE" description:"IP address and port at which others reach this replica, where it isn't --listen"`
+	Admin          string             `long:"admin" env:"COMFREYPLANK_ADMIN" default:"127.0.0.1:7081" description:"IP address and port for operators and metrics"`
+	Data           string             `long:"data" env:"COMFREYPLANK_DATA" required:"true" description:"data folder, on a disk of this instance"`
+	Peers          []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
+	Grace          time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"6s" description:"longest time that a planned stop takes"`
+	OperatorKey    string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
+	SetAside       bool               `long:"set-aside-damaged" description:"move the state of a damaged data folder to its subfolder \"damaged\" and exit; the next start joins as an empty replica. Only while a majority of the other replicas is up"`
+	ShedByPriority bool               `long:"shed-by-priority" env:"COMFREYPLANK_SHED_BY_PRIORITY" description:"have entries refuse the least urgent calls while a service lacks room; set it at all entries and replicas"`
+	Logging        configurer.Logging `group:"Log"`
 }
 
 func parse(args []string) (settings, error) {
@@ -78,7 +78,7 @@
 
 // options returns the options of the replica that the flags ask for.
 func (s settings) options() []runner.Option {
-	if !s.Shed {
+	if !s.ShedByPriority {
 		return nil
 	}
 	return []runner.Option{runner.WithDriverOptions(driver.WithControllerOptions(controller.WithShedding()))}
