--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -320,11 +320,11 @@
 	if a.countServices {
 		report.Services = a.takeServices()
 	}
-	slices.SortFunc(report.Workspaces, func(a, b messenger.WorkspaceUsage) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	report.Sort()
 	return report, !a.confirmSince.IsZero(), len(report.Workspaces)+len(report.Services) > 0
 }
 
-// takeServices returns the counts of services, ordered by name and priority.
+// takeServices returns the counts of services since the last report.
 func (a *Admitter) takeServices() []messenger.ServiceUsage {
 	var list []messenger.ServiceUsage
 	for key, s := range a.services {
@@ -335,8 +335,5 @@
 		list = append(list, s.counts)
 		s.counts = messenger.ServiceUsage{}
 	}
-	slices.SortFunc(list, func(a, b messenger.ServiceUsage) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
-	})
 	return list
 }
--- a/core/controller/admission.go
+++ b/core/controller/admission.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -220,10 +219,7 @@
 			r.Services = append(r.Services, u.ServiceUsage)
 		}
 	}
-	slices.SortFunc(r.Workspaces, func(a, b messenger.WorkspaceUsage) int { return cmp.Compare(a.Workspace, b.Workspace) })
-	slices.SortFunc(r.Services, func(a, b messenger.ServiceUsage) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
-	})
+	r.Sort()
 	return r
 }
 
--- a/core/messenger/admission.go
+++ b/core/messenger/admission.go
@@ -1,5 +1,10 @@
 package messenger
 
+import (
+	"cmp"
+	"slices"
+)
+
 // UsageReport tells how many calls an entry has admitted and refused since its last report. An entry sends none
 // while it has nothing to report.
 type UsageReport struct {
@@ -7,6 +12,14 @@
 	Services   []ServiceUsage
 }
 
+// Sort brings the counts into a fixed order.
+func (r *UsageReport) Sort() {
+	slices.SortFunc(r.Workspaces, func(a, b WorkspaceUsage) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(r.Services, func(a, b ServiceUsage) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
+	})
+}
+
 // WorkspaceUsage counts the calls of a workspace that has a rate limit.
 type WorkspaceUsage struct {
 	Workspace string
