--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -183,7 +183,7 @@
 		v.shedding, v.share, v.shares = false, 0, nil
 		return changed
 	}
-	return v.apply(name, v.divide())
+	return v.apply(name, v.divide(offered))
 }
 
 func (v *service) totals() (offered, admitted, overloaded float64) {
@@ -195,10 +195,9 @@
 	return offered, admitted, overloaded
 }
 
-// divide divides the admitted calls among the priorities: each gets its least share, and what remains goes to the most urgent
-// calls first.
-func (v *service) divide() []float64 {
-	offered, _, _ := v.totals()
+// divide divides the admitted part of the offered calls among the priorities: each gets its least share, and what remains
+// goes to the most urgent calls first.
+func (v *service) divide(offered float64) []float64 {
 	least := minShareOfMean * v.share
 	remaining := (v.share - least) * offered
 	shares := make([]float64, len(v.calls))
