Parse limits and warm-up times by one rule for numbers

The parser of warm-up times had copied which numbers are read (no sign, no exponent, bounded length) from the one of limits. parseDecimal holds the rule for both. go test -race of throttler and balancer passes, with the unchanged tests of what is read and refused.

--- a/core/throttler/statement.go
+++ b/core/throttler/statement.go
@@ -73,14 +73,20 @@
 // maxDigits is the length of the longest number that is read.
 const maxDigits = 64
 
-// parseRate reads a positive decimal number without sign or exponent. Zero is not accepted: an
-// endpoint without requests could not name another limit.
-func parseRate(text string) (float64, bool) {
+// parseDecimal reads a decimal number without sign or exponent.
+func parseDecimal(text string) (float64, bool) {
 	if len(text) > maxDigits || strings.Trim(text, "0123456789.") != "" {
 		return 0, false
 	}
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || rate <= 0 {
+	number, err := strconv.ParseFloat(text, 64)
+	return number, err == nil
+}
+
+// parseRate reads a positive number. Zero is not accepted: an endpoint without requests could not
+// name another limit.
+func parseRate(text string) (float64, bool) {
+	rate, ok := parseDecimal(text)
+	if !ok || rate <= 0 {
 		return 0, false
 	}
 	return min(max(rate, MinRate), MaxRate), true
--- a/core/throttler/warmup.go
+++ b/core/throttler/warmup.go
@@ -1,7 +1,6 @@
 package throttler
 
 import (
-	"strconv"
 	"strings"
 	"time"
 )
@@ -69,13 +68,10 @@
 	return longest
 }
 
-// parseMilliseconds reads a decimal number without sign or exponent, up to MaxWarmUp.
+// parseMilliseconds reads a time of at most MaxWarmUp.
 func parseMilliseconds(text string) (time.Duration, bool) {
-	if len(text) > maxDigits || strings.Trim(text, "0123456789.") != "" {
-		return 0, false
-	}
-	ms, err := strconv.ParseFloat(text, 64)
-	if err != nil || ms > float64(MaxWarmUp.Milliseconds()) {
+	ms, ok := parseDecimal(text)
+	if !ok || ms > float64(MaxWarmUp.Milliseconds()) {
 		return 0, false
 	}
 	return time.Duration(ms * float64(time.Millisecond)), true
