Serve the raw connections of test endpoints in one place

Four test endpoints of the dispatcher each accepted connections in a loop of their own, one of them new. serveConnections does it for all; what they send and what the tests check is unchanged. The tests of endless responses keep their loop, since they must not end a connection that the entry holds. go test -race -count=2 of dispatcher passes.

--- a/entry/dispatcher/body_test.go
+++ b/entry/dispatcher/body_test.go
@@ -54,27 +54,12 @@
 
 func startEarlyEndpoint(t *testing.T, respond func(w io.Writer)) *earlyEndpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	e := &earlyEndpoint{address: listener.Addr().String(), respond: respond, bodies: make(chan received, 100)}
-	var group sync.WaitGroup
-	t.Cleanup(group.Wait)
-	t.Cleanup(func() { _ = listener.Close() })
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() }) // the entry may keep it open
-			group.Go(func() { e.serve(conn) })
-		}
-	})
+	e := &earlyEndpoint{respond: respond, bodies: make(chan received, 100)}
+	e.address = serveConnections(t, e.serve)
 	return e
 }
 
 func (e *earlyEndpoint) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/entry/dispatcher/cut_test.go
+++ b/entry/dispatcher/cut_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,27 +41,12 @@
 
 func startCuttingEndpoint(t *testing.T) *cuttingEndpoint {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	e := &cuttingEndpoint{address: l.Addr().String()}
-	var group sync.WaitGroup
-	t.Cleanup(group.Wait)
-	t.Cleanup(func() { _ = l.Close() })
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = c.Close() })
-			group.Go(func() { e.serve(c) })
-		}
-	})
+	e := &cuttingEndpoint{}
+	e.address = serveConnections(t, e.serve)
 	return e
 }
 
 func (e *cuttingEndpoint) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -237,6 +237,31 @@
 	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
 }
 
+// serveConnections passes each connection of a new listener to serve, and closes it afterwards. It returns the address
+// of the listener. What is still open at the end of the test is closed then: the entry may keep it.
+func serveConnections(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			})
+		}
+	})
+	return listener.Addr().String()
+}
+
 // startTruncatingEndpoint starts an endpoint that announces a content length and closes the
 // connection before sending that much.
 func startTruncatingEndpoint(t *testing.T, length, sent int, connections *atomic.Int32) string {
@@ -497,13 +522,7 @@
 	const refusal = "HTTP/1.1 503 Full\r\nComfreyplank-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
 	var runs atomic.Int32
 	var refused atomic.Bool
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group sync.WaitGroup
-	t.Cleanup(group.Wait)
-	t.Cleanup(func() { _ = listener.Close() })
 	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
 		reader := bufio.NewReader(c)
 		again := ""
 		for {
@@ -521,17 +540,7 @@
 			_, _ = io.WriteString(c, again+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran")
 		}
 	}
-	group.Go(func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = c.Close() })
-			group.Go(func() { serve(c) })
-		}
-	})
-	f := newFixture(t, listener.Addr().String())
+	f := newFixture(t, serveConnections(t, serve))
 	for range 20 {
 		before := runs.Load()
 		response, text := f.do(f.request("POST", "/", "x"))
--- a/entry/dispatcher/reset_test.go
+++ b/entry/dispatcher/reset_test.go
@@ -25,25 +25,10 @@
 // startRawEndpoint starts an endpoint that passes the reader and the connection of each caller to serve.
 func startRawEndpoint(t *testing.T, serve func(*bufio.Reader, *net.TCPConn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group sync.WaitGroup
-	t.Cleanup(group.Wait)
-	t.Cleanup(func() { _ = listener.Close() })
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				_ = conn.SetDeadline(time.Now().Add(10 * time.Second)) // ends the test if the entry holds the connection
-				serve(bufio.NewReader(conn), conn.(*net.TCPConn))
-			})
-		}
+	return serveConnections(t, func(conn net.Conn) {
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second)) // ends the test if the entry holds the connection
+		serve(bufio.NewReader(conn), conn.(*net.TCPConn))
 	})
-	return listener.Addr().String()
 }
 
 // uploadAtOnce sends an upload without pauses, and returns the response as far as it came and the error that ended it.
