--- a/review/stage-2/caller.go
+++ b/review/stage-2/caller.go
@@ -16,12 +16,17 @@
 // A 4xx that ends the call is an error.
 func order(ctx context.Context, r *record, nodes []string, path string, body []byte, limit time.Duration) (string, error) {
 	deadline := time.Now().Add(limit)
+	backoff := 25 * time.Millisecond
 	for i := 0; time.Now().Before(deadline); i++ {
+		if i > 0 {
+			time.Sleep(backoff)
+			backoff = min(2*backoff, 400*time.Millisecond)
+		}
 		node := nodes[i%len(nodes)]
 		status, answer, err := post(ctx, node, path, body)
 		switch {
 		case err != nil:
-			r.add("operator: %s at %s: no response in a second", path, node)
+			r.add("operator: %s at %s: %v", path, node, err)
 		case status/100 == 2:
 			r.add("operator: %s at %s: %d", path, node, status)
 			return node, nil
@@ -30,7 +35,6 @@
 			return "", fmt.Errorf("%s was refused with %d", path, status)
 		default:
 			r.add("operator: %s at %s: %d", path, node, status)
-			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	return "", fmt.Errorf("%s was not acknowledged in %s", path, limit)
