--- a/review/stage-2/deployment.go
+++ b/review/stage-2/deployment.go
@@ -53,6 +53,7 @@
 	for try := range 50 {
 		d.subnet = fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+try*7)%200, 10+(os.Getpid()/200+try)%200)
 		if free(d.subnet + ".11") {
+			started = append(started, d)
 			return d, nil
 		}
 	}
--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -42,8 +42,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go endOnSignal()
 	s := &stage{root: *root, trouble: os.Getenv("TROUBLE") != "0", record: r}
 	r.add("case %s, with the disruption: %t", *name, s.trouble)
 	switch err := run(ctx, s); {
@@ -61,3 +62,17 @@
 		return 2
 	}
 }
+
+// started are the deployments whose processes a signal ends.
+var started []*deployment
+
+// endOnSignal ends the program and all processes that it has started once it gets a signal.
+func endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	for _, d := range started {
+		d.close()
+	}
+	os.Exit(2)
+}
