--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -31,6 +31,7 @@
 	name := flag.String("case", "", "name of the case")
 	root := flag.String("root", ".", "root of the repository")
 	path := flag.String("record", "record.txt", "path of the record")
+	trouble := flag.Bool("trouble", true, "whether to play the disruption")
 	flag.Parse()
 	run, ok := cases[*name]
 	if !ok {
@@ -45,7 +46,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go endOnSignal()
-	s := &stage{root: *root, trouble: os.Getenv("TROUBLE") != "0", record: r}
+	s := &stage{root: *root, trouble: *trouble, record: r}
 	r.add("case %s, with the disruption: %t", *name, s.trouble)
 	switch err := run(ctx, s); {
 	case err == nil:
