Let a leader's knowledge of a member end with the member's process

Callers and operators saw: a replica that lost its disk and was killed as it joined never got a vote again.

A reply didn't name the process that sent it.

Change: each reply to a piece names its process and is ordered within it; progress starts anew with another process, but for the matched index, which is true of the disk. A late reply of an earlier process is dropped.

--- a/core/replicator/message.go
+++ b/core/replicator/message.go
@@ -64,7 +64,7 @@
 	Report uint64
 }
 
-// SnapshotChunk is a part of a snapshot.
+// SnapshotChunk is a part of a snapshot. Without data, and if Done isn't set, it asks how much has arrived.
 type SnapshotChunk struct {
 	Index, LogTerm uint64
 	Members        Membership
@@ -79,6 +79,9 @@
 	Index      uint64
 	Offset     int
 	LeaderTime time.Duration
+	// Sent and Run are those of an AppendReply. Run is zero if the sender is of a version that doesn't name its process.
+	Sent time.Duration
+	Run  uint64
 }
 
 // Forward passes a command to the leader.
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -134,8 +134,8 @@
 	synced uint64
 	// stored is the state at log.baseIndex.
 	stored Snapshot
-	// incomingSnapshot collects the chunks of a snapshot that is being received.
-	incomingSnapshot *Snapshot
+	// incoming is the snapshot that is being received; nil if there is none.
+	incoming *incomingSnapshot
 
 	// nextElection is when a follower or candidate starts the next election.
 	nextElection time.Time
@@ -166,25 +166,6 @@
 	out Output
 }
 
-// progress is the leader's view of another member.
-type progress struct {
-	// match is the last index known to be synced by the member; match < next.
-	match, next uint64
-	// leaderTime is the latest local time of the leader that the member has returned.
-	leaderTime time.Duration
-	// followerTime is the latest local time of the member.
-	followerTime time.Duration
-	incarnation  uint64
-	lastContact  time.Time
-	report       uint64
-	unacked      int
-	// probing is set after an election or a rejection, until the member accepts an append.
-	probing bool
-	// offset is how many bytes of the snapshot at snapshotIndex have arrived.
-	snapshotIndex uint64
-	offset        int
-}
-
 type pendingRead struct {
 	id        uint64
 	from      ID
--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -35,12 +35,22 @@
 	// committedAt is when each of these entries was applied first.
 	committedAt []time.Time
 	lossRate    float64
+	// links holds the slow links to and from a node, and delayed the messages on them.
+	links   map[ID]*link
+	delayed []delayedMessage
+	// lost are the nodes whose disks are lost for good.
+	lost map[ID]bool
+	// paused holds what has arrived at a node that stands still.
+	paused map[ID][]Envelope
+	// onDeliver is called for each message that is about to arrive, if it is set. It returns the message to deliver.
+	onDeliver func(Envelope) Envelope
 }
 
 func newNetwork(t interface{ Fatalf(string, ...any) }, n int, seed uint64) *network {
 	w := &network{
 		t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		nodes: map[ID]*node{}, blocked: map[[2]ID]bool{}, leaderOfTerm: map[uint64]ID{},
+		links: map[ID]*link{}, lost: map[ID]bool{}, paused: map[ID][]Envelope{},
 	}
 	var members Membership
 	for i := range n {
@@ -77,7 +87,10 @@
 	}
 }
 
-func (w *network) crash(id ID) { w.nodes[id].up = false }
+func (w *network) crash(id ID) {
+	w.nodes[id].up = false
+	delete(w.paused, id)
+}
 
 // flush carries out the output of a node until there is none left.
 func (w *network) flush(n *node) {
@@ -171,10 +184,13 @@
 		}
 	})
 	for _, e := range inFlight {
-		w.deliver(e)
+		if !w.delay(e) {
+			w.deliver(e)
+		}
 	}
+	w.deliverDelayed()
 	for _, id := range w.order {
-		if n := w.nodes[id]; n.up {
+		if n := w.nodes[id]; n.up && w.paused[id] == nil {
 			n.Tick(w.now)
 			w.flush(n)
 		}
@@ -189,6 +205,13 @@
 	if w.lossRate > 0 && w.rand.Float64() < 0.05 {
 		w.inFlight = append(w.inFlight, e) // a duplicate that arrives later
 	}
+	if waiting := w.paused[e.To]; waiting != nil {
+		w.paused[e.To] = append(waiting, e)
+		return
+	}
+	if w.onDeliver != nil {
+		e = w.onDeliver(e)
+	}
 	n.Receive(w.now, e)
 	w.flush(n)
 }
@@ -399,7 +422,12 @@
 }
 
 func (w *network) compact(n *node) {
-	s, ok := n.Compact(n.deliveredIndex, []byte("state"))
+	w.compactTo(n, []byte("state"))
+}
+
+// compactTo replaces the log of a node by a snapshot with the given data.
+func (w *network) compactTo(n *node, data []byte) {
+	s, ok := n.Compact(n.deliveredIndex, data)
 	if !ok {
 		return
 	}
@@ -426,7 +454,8 @@
 	clear(w.blocked)
 	w.lossRate = 0
 	for _, id := range w.order {
-		if !w.nodes[id].up {
+		w.wake(id)
+		if !w.nodes[id].up && !w.lost[id] {
 			w.start(id)
 		}
 	}
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -102,7 +102,7 @@
 	}
 	p.next += uint64(len(entries))
 	p.unacked++
-	r.send(to, Append{PrevIndex: prev, PrevTerm: prevTerm, Entries: entries, Commit: r.commitIndex, LeaderTime: leaderTime, Echo: p.followerTime, EchoRun: p.incarnation, QuorumAge: quorumAge})
+	r.send(to, Append{PrevIndex: prev, PrevTerm: prevTerm, Entries: entries, Commit: r.commitIndex, LeaderTime: leaderTime, Echo: p.followerTime, EchoRun: p.run, QuorumAge: quorumAge})
 }
 
 // limitBytes returns the first entries that fit into maxBytesPerAppend, but at least one.
@@ -217,21 +217,27 @@
 	if m.Match > r.log.lastIndex() {
 		return // no replica has synced entries that this leader doesn't have
 	}
+	order := p.observe(m.Run, m.Sent, m.LeaderTime)
+	if order == replyOfEarlierProcess {
+		return
+	}
 	r.recordReply(now, p, m.LeaderTime)
-	if p.incarnation != m.Run || p.followerTime < m.Sent {
-		p.incarnation = m.Run
-		p.followerTime = m.Sent
+	if order == replyInOrder {
+		p.report = m.Report
 	}
-	p.report = m.Report
 	if !m.OK {
-		p.probing = true
-		p.next = max(min(m.Match+1, p.next-1), p.match+1, 1)
-		r.sendAppend(now, e.From, p)
+		if order == replyInOrder {
+			p.stepBack(m.Match)
+			r.sendAppend(now, e.From, p)
+		}
 		return
 	}
 	p.probing = false
 	p.match = max(p.match, m.Match)
 	p.next = max(p.next, p.match+1)
+	if p.match >= p.transfer.snapshot.Index {
+		p.transfer = transfer{}
+	}
 	r.advanceCommitIndex(now)
 	if e.From == r.transferTo {
 		r.trySendTimeoutNow()
@@ -316,71 +322,3 @@
 		r.becomeFollower(now, r.state.Term, "")
 	}
 }
-
-func (r *Replica) sendSnapshot(now time.Time, to ID, p *progress) {
-	if p.snapshotIndex != r.stored.Index {
-		p.snapshotIndex = r.stored.Index
-		p.offset = 0
-	}
-	end := min(p.offset+snapshotChunkBytes, len(r.stored.Data))
-	r.send(to, SnapshotChunk{
-		Index: r.stored.Index, LogTerm: r.stored.Term, Members: r.stored.Members,
-		Offset: p.offset, Data: r.stored.Data[p.offset:end], Done: end == len(r.stored.Data), LeaderTime: r.localTime(now),
-	})
-}
-
-func (r *Replica) onSnapshotChunk(now time.Time, e Envelope, m SnapshotChunk) {
-	r.followLeader(now, e.From)
-	if m.Index <= r.commitIndex {
-		r.send(e.From, r.acceptingReply(now, m.LeaderTime, r.commitIndex))
-		return
-	}
-	if m.Offset == 0 {
-		r.incomingSnapshot = &Snapshot{Index: m.Index, Term: m.LogTerm, Members: m.Members}
-	}
-	if r.incomingSnapshot == nil || r.incomingSnapshot.Index != m.Index {
-		r.send(e.From, SnapshotReply{Index: m.Index, LeaderTime: m.LeaderTime})
-		return
-	}
-	if m.Offset == len(r.incomingSnapshot.Data) {
-		r.incomingSnapshot.Data = append(r.incomingSnapshot.Data, m.Data...)
-		if m.Done && r.checkSnapshot(r.incomingSnapshot.Data) != nil {
-			r.incomingSnapshot = nil // the leader starts again
-			return
-		}
-		if m.Done {
-			r.installSnapshot(*r.incomingSnapshot)
-			r.send(e.From, r.acceptingReply(now, m.LeaderTime, m.Index))
-			return
-		}
-	}
-	r.send(e.From, SnapshotReply{Index: m.Index, Offset: len(r.incomingSnapshot.Data), LeaderTime: m.LeaderTime})
-}
-
-// installSnapshot replaces the log and the state by a snapshot.
-func (r *Replica) installSnapshot(s Snapshot) {
-	r.incomingSnapshot = nil
-	r.stored = s
-	r.log = log{baseIndex: s.Index, baseTerm: s.Term}
-	r.members = s.Members
-	r.membersIndex = s.Index
-	r.commitIndex = s.Index
-	r.deliveredIndex = s.Index
-	r.synced = s.Index
-	r.out.Snapshot = &s
-	r.out.Entries = nil
-	r.out.Committed = nil
-}
-
-func (r *Replica) onSnapshotReply(now time.Time, e Envelope, m SnapshotReply) {
-	p := r.progress[e.From]
-	if r.role != RoleLeader || p == nil {
-		return
-	}
-	r.recordReply(now, p, m.LeaderTime)
-	advanced := p.snapshotIndex == m.Index && m.Offset > p.offset && m.Offset <= len(r.stored.Data)
-	if advanced && p.next <= r.log.baseIndex {
-		p.offset = m.Offset
-		r.sendSnapshot(now, e.From, p)
-	}
-}
--- a/shell/encoder/encoder_test.go
+++ b/shell/encoder/encoder_test.go
@@ -117,7 +117,7 @@
 		replicator.Append{PrevIndex: 1, PrevTerm: 2, Entries: entries, Commit: 3, LeaderTime: 4, Echo: 5, EchoRun: 6, QuorumAge: -1},
 		replicator.AppendReply{OK: true, Match: 1, LeaderTime: 2, Sent: 3, Run: 4, Report: 5},
 		replicator.SnapshotChunk{Index: 1, LogTerm: 2, Members: replicator.Membership{member}, Offset: 3, Data: []byte("d"), Done: true, LeaderTime: 4},
-		replicator.SnapshotReply{Index: 1, Offset: 2, LeaderTime: 3},
+		replicator.SnapshotReply{Index: 1, Offset: 2, LeaderTime: 3, Sent: 4, Run: 5},
 		replicator.Forward{Data: []byte("d")},
 		replicator.ReadRequest{Read: 1},
 		replicator.ReadReply{Read: 1, Index: 2},
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -132,7 +132,9 @@
 			Offset: int64(m.Offset), Data: m.Data, Done: m.Done, Round: int64(m.LeaderTime),
 		}}
 	case replicator.SnapshotReply:
-		r.Message = &wire.Replicated_SnapshotReply{SnapshotReply: &wire.SnapshotReply{Index: m.Index, Offset: int64(m.Offset), Round: int64(m.LeaderTime)}}
+		r.Message = &wire.Replicated_SnapshotReply{SnapshotReply: &wire.SnapshotReply{
+			Index: m.Index, Offset: int64(m.Offset), Round: int64(m.LeaderTime), Sent: int64(m.Sent), Run: m.Run,
+		}}
 	case replicator.Forward:
 		r.Message = &wire.Replicated_Forward{Forward: &wire.Forward{Data: m.Data}}
 	case replicator.ReadRequest:
@@ -196,7 +198,9 @@
 		}, nil
 	case *wire.Replicated_SnapshotReply:
 		m := v.SnapshotReply
-		return replicator.SnapshotReply{Index: m.GetIndex(), Offset: int(m.GetOffset()), LeaderTime: time.Duration(m.GetRound())}, nil
+		return replicator.SnapshotReply{
+			Index: m.GetIndex(), Offset: int(m.GetOffset()), LeaderTime: time.Duration(m.GetRound()), Sent: time.Duration(m.GetSent()), Run: m.GetRun(),
+		}, nil
 	case *wire.Replicated_Forward:
 		return replicator.Forward{Data: v.Forward.GetData()}, nil
 	case *wire.Replicated_ReadRequest:
