Number the reads that a leader confirms by process

What callers could see: a read, or an entry's lease, at an old revision.

Cause: the number was the caller's, which starts at 1 in each process; a reply that was held up for an earlier process of a replica confirmed the read of the next one, at the old index.

Change: the replicator numbers its requests itself, from a random start.

--- a/core/replicator/contact_test.go
+++ b/core/replicator/contact_test.go
@@ -54,7 +54,7 @@
 		// The followers sync the entry, but don't learn that it is committed before the leader is gone.
 		w.propose(former.ID(), "x")
 		for !w.hasCommitted("x") {
-			w.step(10 * time.Millisecond)
+			w.step()
 		}
 		w.crash(former.ID())
 		w.inFlight = nil
--- a/core/replicator/message.go
+++ b/core/replicator/message.go
@@ -89,7 +89,7 @@
 	Data []byte
 }
 
-// ReadRequest asks the leader for an index at which it is safe to read.
+// ReadRequest asks the leader for an index at which it is safe to read. No other process of the sender uses the same number.
 type ReadRequest struct {
 	Read uint64
 }
--- a/core/replicator/read.go
+++ b/core/replicator/read.go
@@ -20,15 +20,16 @@
 		return ErrNoLeader
 	}
 	r.dropExpiredReads(now)
-	r.forwardedReads[id] = now
-	r.send(r.leader, ReadRequest{Read: id})
+	r.lastForwardedRead++
+	r.forwardedReads[r.lastForwardedRead] = pendingRead{id: id, startedAt: now}
+	r.send(r.leader, ReadRequest{Read: r.lastForwardedRead})
 	return nil
 }
 
 func (r *Replica) dropExpiredReads(now time.Time) {
-	for id, startedAt := range r.forwardedReads {
-		if now.Sub(startedAt) > readTimeout {
-			delete(r.forwardedReads, id)
+	for number, p := range r.forwardedReads {
+		if now.Sub(p.startedAt) > readTimeout {
+			delete(r.forwardedReads, number)
 		}
 	}
 }
@@ -48,11 +49,12 @@
 }
 
 func (r *Replica) onReadReply(m ReadReply) {
-	if _, ok := r.forwardedReads[m.Read]; !ok {
+	p, ok := r.forwardedReads[m.Read]
+	if !ok {
 		return
 	}
 	delete(r.forwardedReads, m.Read)
-	r.out.Reads = append(r.out.Reads, Read{ID: m.Read, Index: m.Index})
+	r.out.Reads = append(r.out.Reads, Read{ID: p.id, Index: m.Index})
 }
 
 // completeReads sends the results of the reads that started no later than the last contact with
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -160,14 +160,19 @@
 	transferTo         ID
 	transferDeadline   time.Time
 	reads              []pendingRead
-	forwardedReads     map[uint64]time.Time
-	stateChanged       bool
+	// forwardedReads holds the reads that the leader was asked to confirm, by the number of the request. Numbers start at
+	// random, so that a late reply to an earlier process confirms nothing.
+	forwardedReads    map[uint64]pendingRead
+	lastForwardedRead uint64
+	stateChanged      bool
 
 	out Output
 }
 
+// pendingRead is a read that waits for its confirmation.
 type pendingRead struct {
-	id        uint64
+	id uint64
+	// from is the replica that asked; empty if this one did.
 	from      ID
 	startedAt time.Time
 }
@@ -208,7 +213,7 @@
 		stored:             stored.Snapshot,
 		members:            stored.Snapshot.Members,
 		lastLeaderContact:  now,
-		forwardedReads:     make(map[uint64]time.Time),
+		forwardedReads:     make(map[uint64]pendingRead),
 		checkSnapshot:      func([]byte) error { return nil },
 	}
 	for _, opt := range opts {
@@ -218,6 +223,7 @@
 		r.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	r.incarnation = r.rand.Uint64()
+	r.lastForwardedRead = r.rand.Uint64()
 	r.log = log{baseIndex: stored.Snapshot.Index, baseTerm: stored.Snapshot.Term}
 	r.log.append(stored.Entries...)
 	r.membersIndex = stored.Snapshot.Index
--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -173,9 +173,12 @@
 	}
 }
 
-// step advances time by d, delivers the messages in flight and ticks every node.
-func (w *network) step(d time.Duration) {
-	w.now = w.now.Add(d)
+// stepTime is how long a message takes on a fast link.
+const stepTime = 10 * time.Millisecond
+
+// step advances time by stepTime, delivers the messages in flight and ticks every node.
+func (w *network) step() {
+	w.now = w.now.Add(stepTime)
 	inFlight := w.inFlight
 	w.inFlight = nil
 	w.rand.Shuffle(len(inFlight), func(i, j int) {
@@ -218,7 +221,7 @@
 
 func (w *network) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
-		w.step(10 * time.Millisecond)
+		w.step()
 	}
 }
 
@@ -367,7 +370,7 @@
 	w.isolate(old.ID(), true)
 	assert.NilError(t, old.ReadIndex(w.now, 9))
 	for range 400 {
-		w.step(10 * time.Millisecond)
+		w.step()
 		assert.Equal(t, len(old.out.Reads), 0)
 	}
 }
--- a/core/replicator/transfer_test.go
+++ b/core/replicator/transfer_test.go
@@ -35,7 +35,7 @@
 		return e
 	}
 	for end := w.now.Add(5 * time.Second); arrived < pieces && w.now.Before(end); {
-		w.step(10 * time.Millisecond)
+		w.step()
 	}
 	w.onDeliver = nil
 }
@@ -67,7 +67,7 @@
 func TestRestartedMemberKeepsNoProgress(t *testing.T) {
 	w, leader, behind := newTransferNetwork(t, 5*snapshotChunkBytes)
 	w.start(behind.ID())
-	w.run(10 * time.Millisecond)
+	w.run(stepTime)
 	w.awaitPieces(behind.ID(), 3)
 	w.start(behind.ID())
 	w.onDeliver = func(e Envelope) Envelope {
@@ -106,7 +106,7 @@
 			w.start(behind.ID())
 			for range 300 {
 				w.inFlight = append(w.inFlight, late...) // with each step once more
-				w.step(10 * time.Millisecond)
+				w.step()
 			}
 			assert.Equal(t, behind.Commit(), leader.Commit())
 			assert.Assert(t, leader.progress[behind.ID()].run == behind.incarnation)
