--- a/control/journaler/crashdisk_test.go
+++ b/control/journaler/crashdisk_test.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"bytes"
 	"maps"
 	"os"
 	"path/filepath"
@@ -71,6 +72,14 @@
 	return slices.Clone(n.content), nil
 }
 
+func (d *crashDisk) size(path string) (int64, error) {
+	n, ok := d.names[path]
+	if !ok {
+		return 0, os.ErrNotExist
+	}
+	return int64(len(n.content)), nil
+}
+
 func (d *crashDisk) exists(path string) bool { return d.names[path] != nil }
 
 func (d *crashDisk) openFile(path string, flag int) (file, error) {
@@ -190,6 +199,10 @@
 	path  string
 }
 
+func (f *crashFile) ReadAt(data []byte, offset int64) (int, error) {
+	return bytes.NewReader(f.inode.content).ReadAt(data, offset)
+}
+
 // WriteAt writes half of the data if it fails, as on a full disk.
 func (f *crashFile) WriteAt(data []byte, offset int64) (int, error) {
 	err := f.disk.operate("write " + f.path)
--- a/control/journaler/disk.go
+++ b/control/journaler/disk.go
@@ -58,18 +58,14 @@
 
 // writeFrameFile replaces a file by one with a single frame that holds the payload.
 func writeFrameFile(files fileSystem, path string, payload []byte) error {
-	data, err := frame(payload)
-	if err != nil {
-		return err
-	}
-	return replaceFile(files, path, data)
+	return replaceFile(files, path, func(w *frameWriter) error { return w.write(payload) })
 }
 
-// replaceFile replaces the content of a file atomically: after a crash, the file has either the
-// old or the new content.
-func replaceFile(files fileSystem, path string, data []byte) error {
+// replaceFile replaces the content of a file by the frames that write writes. After a crash, the file has either the old or
+// the new content.
+func replaceFile(files fileSystem, path string, write func(w *frameWriter) error) error {
 	temporary := path + temporarySuffix
-	if err := writeFile(files, temporary, data); err != nil {
+	if err := writeFile(files, temporary, write); err != nil {
 		return errors.Wrapf(err, "replace %s", filepath.Base(path))
 	}
 	if err := files.rename(temporary, path); err != nil {
@@ -78,15 +74,17 @@
 	return files.syncFolder(filepath.Dir(path))
 }
 
-// writeFile writes and syncs a file.
-func writeFile(files fileSystem, path string, data []byte) error {
+// writeFile writes and syncs a file. One that could not be written whole takes no more room on the disk.
+func writeFile(files fileSystem, path string, write func(w *frameWriter) error) error {
 	f, err := files.openFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return errors.Wrap(err, "create file")
 	}
-	_, err = f.WriteAt(data, 0)
+	err = write(&frameWriter{file: f})
 	if err == nil {
 		err = f.Sync()
+	} else if truncateErr := f.Truncate(0); truncateErr != nil {
+		slog.Warn("what was written of a file can't be removed", "path", path, "error", truncateErr)
 	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
@@ -94,6 +92,27 @@
 	return err
 }
 
+// frameWriter writes frames one after the other to a file.
+type frameWriter struct {
+	file   file
+	offset int64
+}
+
+func (w *frameWriter) write(payload []byte) error {
+	header, err := frameHeader(payload)
+	if err != nil {
+		return err
+	}
+	if _, err := w.file.WriteAt(header, w.offset); err != nil {
+		return errors.Wrap(err, "write frame")
+	}
+	if _, err := w.file.WriteAt(payload, w.offset+headerBytes); err != nil {
+		return errors.Wrap(err, "write frame")
+	}
+	w.offset += int64(headerBytes + len(payload))
+	return nil
+}
+
 // keepDataFolder makes the name of a data folder that holds no identity yet persist. An earlier start may have created
 // the folder and ended before it did so.
 func keepDataFolder(files fileSystem, path string) error {
--- a/control/journaler/filesystem.go
+++ b/control/journaler/filesystem.go
@@ -11,6 +11,7 @@
 // power only once it has been synced: the content of a file by the file's Sync, its name by syncFolder.
 type fileSystem interface {
 	readFile(path string) ([]byte, error)
+	size(path string) (int64, error)
 	exists(path string) bool
 	openFile(path string, flag int) (file, error)
 	rename(from, to string) error
@@ -21,6 +22,7 @@
 
 // file is an open file.
 type file interface {
+	io.ReaderAt
 	io.WriterAt
 	io.Closer
 	Truncate(size int64) error
@@ -32,6 +34,14 @@
 
 func (systemFiles) readFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
+func (systemFiles) size(path string) (int64, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
 func (systemFiles) exists(path string) bool {
 	_, err := os.Stat(path)
 	return err == nil
--- a/control/journaler/frame.go
+++ b/control/journaler/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"hash"
 	"hash/crc32"
 	"slices"
 
@@ -32,16 +33,28 @@
 
 // frame returns the frame of a payload.
 func frame(payload []byte) ([]byte, error) {
+	header, err := frameHeader(payload)
+	if err != nil {
+		return nil, err
+	}
+	return append(header, payload...), nil
+}
+
+// frameHeader returns the header of the frame of a payload.
+func frameHeader(payload []byte) ([]byte, error) {
 	if len(payload) > maxPayloadBytes {
 		return nil, ErrTooLarge
 	}
-	data := make([]byte, headerBytes, headerBytes+len(payload))
-	copy(data, magic)
-	binary.LittleEndian.PutUint32(data[4:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(data[8:], checksum(data[4:8], payload))
-	return append(data, payload...), nil
+	header := make([]byte, headerBytes)
+	copy(header, magic)
+	binary.LittleEndian.PutUint32(header[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(header[8:], checksum(header[4:8], payload))
+	return header, nil
 }
 
+// newChecksum returns the hash of a checksum, to which length and payload are written.
+func newChecksum() hash.Hash32 { return crc32.New(castagnoli) }
+
 func checksum(length, payload []byte) uint32 {
 	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, payload)
 }
@@ -63,45 +76,6 @@
 	return payload, data[headerBytes+int(length):], true
 }
 
-// parseFrames returns the payloads of the frames in a file and the length of the valid frames.
-// Only the last frame may be torn, since each is synced before the next is written: a valid frame
-// after an invalid one means that the file is damaged, and so does a last frame in which one bit has changed.
-func parseFrames(data []byte) (payloads [][]byte, valid int, err error) {
-	rest := data
-	for len(rest) > 0 {
-		payload, next, ok := parseFrame(rest)
-		if !ok {
-			break
-		}
-		payloads = append(payloads, payload)
-		rest = next
-	}
-	valid = len(data) - len(rest)
-	if offset := findFrame(rest); offset >= 0 {
-		return nil, 0, errors.Wrapf(ErrDamaged, "an invalid frame at byte %d is followed by a valid one at byte %d", valid, valid+offset)
-	}
-	if hasFlippedBit(rest) {
-		return nil, 0, errors.Wrapf(ErrDamaged, "a bit of the last frame, at byte %d, has changed", valid)
-	}
-	return payloads, valid, nil
-}
-
-// findFrame returns the offset of the first valid frame in data, or -1. It ignores a frame at
-// offset 0.
-func findFrame(data []byte) int {
-	for offset := 1; offset < len(data); offset++ {
-		i := bytes.Index(data[offset:], magic)
-		if i < 0 {
-			return -1
-		}
-		offset += i
-		if _, _, ok := parseFrame(data[offset:]); ok {
-			return offset
-		}
-	}
-	return -1
-}
-
 // hasFlippedBit reports whether data would be one valid frame if a single bit of it were different. A torn write does
 // not look like that: it lacks the end of the frame, or has zeros there.
 func hasFlippedBit(data []byte) bool {
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -65,7 +65,7 @@
 		return stored, err
 	}
 	stored.Snapshot = snapshot
-	data, err := j.files.readFile(j.path(journalName))
+	size, err := j.files.size(j.path(journalName))
 	if os.IsNotExist(err) {
 		if snapshot.Index != 0 {
 			return stored, errors.Wrap(ErrDamaged, "there is a snapshot but no journal")
@@ -75,18 +75,22 @@
 	if err != nil {
 		return stored, errors.Wrap(err, "read journal")
 	}
-	payloads, valid, err := parseFrames(data)
-	if err != nil {
+	if err := j.openFile(); err != nil {
 		return stored, err
 	}
-	base, err := j.replay(payloads, &stored)
+	frames := newScanner(j.file, size)
+	base, err := replay(frames, &stored)
+	if err == nil {
+		err = frames.checkRest()
+	}
 	if err != nil {
+		_ = j.file.Close() // it was only read
 		return stored, err
 	}
 	if replaced, err := j.replaceOutdated(snapshot, base, stored); replaced || err != nil {
 		return stored, err
 	}
-	return stored, j.openFound(data[:valid], payloads, int64(len(data)))
+	return stored, j.continueFile(frames)
 }
 
 // replaceOutdated replaces a journal that was written before the snapshot, as after a crash between the two: further
@@ -101,15 +105,13 @@
 	return false, nil
 }
 
-// openFound opens a journal that was read, with its valid frames and its size.
-func (j *Journal) openFound(valid []byte, payloads [][]byte, size int64) error {
-	if err := j.openFile(int64(len(valid))); err != nil {
+// continueFile prepares a journal that was read for further frames.
+func (j *Journal) continueFile(frames *scanner) error {
+	j.size = frames.offset
+	if err := j.truncate(frames.size); err != nil {
 		return err
 	}
-	if err := j.truncate(size); err != nil {
-		return err
-	}
-	if err := j.rewriteLast(valid, payloads); err != nil {
+	if err := j.rewriteLast(frames); err != nil {
 		return err
 	}
 	return errors.Wrap(j.file.Sync(), "sync journal")
@@ -118,12 +120,15 @@
 // rewriteLast writes the last frame once more, so that the next sync covers it: an earlier process may have ended
 // before its sync, or because the sync failed. After a failed sync a file may show what no later sync writes. The
 // frames before the last one have been synced, as has a whole new file.
-func (j *Journal) rewriteLast(valid []byte, payloads [][]byte) error {
-	if len(payloads) < 2 {
+func (j *Journal) rewriteLast(frames *scanner) error {
+	if frames.last <= 0 {
 		return nil
 	}
-	offset := len(valid) - headerBytes - len(payloads[len(payloads)-1])
-	_, err := j.file.WriteAt(valid[offset:], int64(offset))
+	data := make([]byte, frames.offset-frames.last)
+	if err := frames.read(data, frames.last); err != nil {
+		return err
+	}
+	_, err := j.file.WriteAt(data, frames.last)
 	if errors.Is(err, unix.ENOSPC) {
 		slog.Warn("the disk is full; the last write to the journal is synced as it is", "folder", j.folder)
 		return nil
@@ -141,10 +146,20 @@
 
 // replay reads the frames of a journal in order into stored.
 // It returns the base of the journal.
-func (j *Journal) replay(payloads [][]byte, stored *replicator.Stored) (encoder.Base, error) {
+func replay(frames *scanner, stored *replicator.Stored) (encoder.Base, error) {
 	var base encoder.Base
-	var entries []replicator.Entry
-	for i, payload := range payloads {
+	var list replicator.EntryList
+	for i := 0; ; i++ {
+		payload, err := frames.next()
+		if err != nil {
+			return base, err
+		}
+		if payload == nil && i == 0 {
+			return base, errors.Wrap(ErrDamaged, "the journal has no frames")
+		}
+		if payload == nil {
+			break
+		}
 		f, err := encoder.DecodeFrame(payload)
 		if err != nil {
 			return base, errors.Wrapf(ErrDamaged, "frame %d: %v", i, err)
@@ -158,28 +173,28 @@
 		if f.State != nil {
 			stored.State = *f.State
 		}
-		if entries, err = appendEntries(base, entries, f.Entries); err != nil {
+		if err := appendEntries(base, &list, f.Entries); err != nil {
 			return base, err
 		}
 	}
-	if len(payloads) == 0 {
-		return base, errors.Wrap(ErrDamaged, "the journal has no frames")
-	}
-	stored.Entries = entriesAfter(stored.Snapshot, base, entries)
+	stored.Entries = entriesAfter(stored.Snapshot, base, list.Kept())
 	return base, nil
 }
 
-// appendEntries appends the added entries to entries, which start after base. An entry whose
-// index is already present replaces that entry and all after it.
-func appendEntries(base encoder.Base, entries, added []replicator.Entry) ([]replicator.Entry, error) {
+// appendEntries appends the added entries to a list that starts after base. An entry whose index is already present replaces
+// that entry and all after it.
+func appendEntries(base encoder.Base, list *replicator.EntryList, added []replicator.Entry) error {
 	for _, e := range added {
 		position := int64(e.Index) - int64(base.Index) - 1
-		if position < 0 || position > int64(len(entries)) {
-			return nil, errors.Wrapf(ErrDamaged, "entry %d is out of sequence", e.Index)
+		if position < 0 || position > int64(list.Len()) {
+			return errors.Wrapf(ErrDamaged, "entry %d is out of sequence", e.Index)
 		}
-		entries = append(entries[:position], e)
+		if position < int64(list.Len()) {
+			list.Truncate(int(position))
+		}
+		list.Append(e)
 	}
-	return entries, nil
+	return nil
 }
 
 // entriesAfter returns the entries after the snapshot. After a crash between the write of a new
@@ -197,14 +212,13 @@
 	return nil
 }
 
-// openFile opens the journal for further frames after the given size.
-func (j *Journal) openFile(size int64) error {
+// openFile opens the journal.
+func (j *Journal) openFile() error {
 	file, err := j.files.openFile(j.path(journalName), os.O_RDWR)
 	if err != nil {
 		return errors.Wrap(err, "open journal")
 	}
 	j.file = file
-	j.size = size
 	return nil
 }
 
@@ -274,23 +288,50 @@
 	return j.StoreSnapshot(stored.Snapshot, stored.Entries)
 }
 
+// maxFrameEntryBytes limits the entries in one frame of a new file, unless a single one is larger.
+const maxFrameEntryBytes = 1 << 20
+
 // createFile replaces the journal file by a new one.
 func (j *Journal) createFile(state replicator.HardState, base encoder.Base, entries []replicator.Entry) error {
-	payload, err := encoder.EncodeFrame(encoder.Frame{Base: &base, State: &state, Entries: entries})
-	if err != nil {
-		return err
-	}
-	data, err := frame(payload)
+	var size int64
+	err := replaceFile(j.files, j.path(journalName), func(w *frameWriter) error {
+		for first := true; first || len(entries) > 0; first = false {
+			f := encoder.Frame{}
+			if first {
+				f.Base, f.State = &base, &state
+			}
+			f.Entries, entries = splitEntries(entries)
+			payload, err := encoder.EncodeFrame(f)
+			if err != nil {
+				return err
+			}
+			if err := w.write(payload); err != nil {
+				return err
+			}
+		}
+		size = w.offset
+		return nil
+	})
 	if err != nil {
 		return err
 	}
-	if err := replaceFile(j.files, j.path(journalName), data); err != nil {
-		return err
-	}
 	if j.file != nil {
 		_ = j.file.Close() // the file has been replaced
 	}
-	return j.openFile(int64(len(data)))
+	j.size = size
+	return j.openFile()
+}
+
+// splitEntries returns the entries of the next frame, and those after it.
+func splitEntries(entries []replicator.Entry) (next, rest []replicator.Entry) {
+	bytes := 0
+	for i, e := range entries {
+		bytes += e.Size()
+		if bytes > maxFrameEntryBytes && i > 0 {
+			return entries[:i], entries[i:]
+		}
+	}
+	return entries, nil
 }
 
 // Close closes the journal.
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -294,7 +294,7 @@
 			encoded = append(encoded, frameBytes...)
 		}
 		assert.DeepEqual(t, encoded, append([]byte(nil), data[:valid]...))
-		assert.Equal(t, findFrame(data[valid:]), -1)
+		assert.Equal(t, findFrame(t, data[valid:]), -1)
 	})
 }
 
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"comfreyplank.org/control/driver"
+	"comfreyplank.org/control/sequencer"
 	"comfreyplank.org/core/committer"
 	"comfreyplank.org/core/controller"
 	"comfreyplank.org/core/validator"
@@ -22,17 +23,21 @@
 // replyMargin is how much longer an operator's request waits than the state machine does.
 const replyMargin = 2 * time.Second
 
+// maxDocuments is how many documents may be on their way at once; one at a time is decoded.
+const maxDocuments = 16
+
 // Operator serves the operators' HTTP interface of one replica.
 type Operator struct {
 	driver    *driver.Driver
 	publisher *publisher.Publisher
 	key       string
+	documents *sequencer.Sequencer
 }
 
 // New returns the operators' HTTP interface of a replica. If key is not empty, every change must
 // carry it.
 func New(d *driver.Driver, p *publisher.Publisher, key string) *Operator {
-	return &Operator{driver: d, publisher: p, key: key}
+	return &Operator{driver: d, publisher: p, key: key, documents: sequencer.New(maxDocuments)}
 }
 
 // Register adds the routes of the interface to a router.
@@ -147,6 +152,11 @@
 func (o *Operator) Apply(ctx context.Context, data []byte) (int, Result) {
 	ctx, cancel := context.WithTimeout(ctx, controller.ApplyTimeout+replyMargin)
 	defer cancel()
+	leave, err := o.documents.Admit()
+	if err != nil {
+		return describe(controller.ApplyReply{Status: controller.ApplyNotProposed})
+	}
+	defer leave()
 	reply, err := o.driver.Apply(ctx, controller.Apply{Document: data})
 	if err != nil {
 		reply.Status = controller.ApplyUnknown
@@ -171,7 +181,7 @@
 		return http.StatusAccepted, result
 	case controller.ApplyNotProposed:
 		result.Status = "not-taken"
-		result.Detail = "this replica hears no leader; nothing was changed"
+		result.Detail = "this replica hears no leader, or too many changes wait; nothing was changed"
 		return http.StatusServiceUnavailable, result
 	case controller.ApplyRefused:
 		return describeRefusal(reply, result)
--- a/control/settings.go
+++ b/control/settings.go
@@ -25,6 +25,7 @@
 	Peers          []string           `long:"peer" env:"COMFREYPLANK_PEERS" env-delim:"," description:"name=address of a replica of the first set, this one included; may be repeated; none for a single replica"`
 	Grace          time.Duration      `long:"grace" env:"COMFREYPLANK_GRACE" default:"6s" description:"longest time that a planned stop takes"`
 	OperatorKey    string             `long:"operator-key" env:"COMFREYPLANK_OPERATOR_KEY" description:"key that changes must carry; empty asks for none"`
+	MemoryMB       int                `long:"memory" env:"COMFREYPLANK_MEMORY" default:"256" description:"memory that this replica may use, in MB; it refuses documents that don't fit. The same at all replicas"`
 	SetAside       bool               `long:"set-aside-damaged" description:"move the state of a damaged data folder to its subfolder \"damaged\" and exit; the next start joins as an empty replica. Only while a majority of the other replicas is up"`
 	ShedByPriority bool               `long:"shed-by-priority" env:"COMFREYPLANK_SHED_BY_PRIORITY" description:"have entries refuse the least urgent calls while a service lacks room; set it at all entries and replicas"`
 	Logging        configurer.Logging `group:"Log"`
@@ -47,6 +48,9 @@
 		c.Address("advertise", s.Advertise)
 	}
 	s.checkPeers(&c)
+	if s.MemoryMB <= 0 {
+		c.Add("memory", "must be positive")
+	}
 	if s.Grace <= 0 {
 		c.Add("grace", "must be positive")
 	}
@@ -78,10 +82,11 @@
 
 // options returns the options of the replica that the flags ask for.
 func (s settings) options() []runner.Option {
-	if !s.ShedByPriority {
-		return nil
+	opts := []controller.Option{controller.WithMaxDocumentBytes(controller.MaxDocumentBytes(s.MemoryMB << 20))}
+	if s.ShedByPriority {
+		opts = append(opts, controller.WithShedding())
 	}
-	return []runner.Option{runner.WithDriverOptions(driver.WithControllerOptions(controller.WithShedding()))}
+	return []runner.Option{runner.WithDriverOptions(driver.WithControllerOptions(opts...))}
 }
 
 // members returns the peers as members of the replicated groups.
--- a/core/controller/configuration.go
+++ b/core/controller/configuration.go
@@ -11,8 +11,30 @@
 	"comfreyplank.org/core/validator"
 )
 
-// maxPendingApplies limits the number of changes that wait at the same time.
-const maxPendingApplies = 256
+// Limits of the changes that wait at the same time: their number, and the bytes of their documents. One document may be
+// larger.
+const (
+	maxPendingApplies     = 256
+	maxPendingApplyBytes  = 16 << 20
+	minimumDocumentMemory = 64 << 10
+)
+
+// WithMaxDocumentBytes refuses larger documents. The limit follows from the memory of the replicas, as MaxDocumentBytes says.
+func WithMaxDocumentBytes(limit int) Option {
+	return func(c *Controller) { c.maxDocumentBytes = limit }
+}
+
+// What a replica uses at most: replicaBytes, and documentCopies times the size of a document, decoded or encoded, while it
+// starts, while operators send eight at once, and while others are behind (docs/CAPACITY.md).
+const (
+	replicaBytes   = 56 << 20
+	documentCopies = 40
+)
+
+// MaxDocumentBytes returns the size of the largest document that a replica with so many bytes of memory can keep.
+func MaxDocumentBytes(memory int) int {
+	return min(validator.MaxDocumentBytes, max(minimumDocumentMemory, (memory-replicaBytes)/documentCopies))
+}
 
 // Timeouts of confirmed reads. A read for an operator fails after its timeout; a read for an
 // entry is then started again.
@@ -28,6 +50,8 @@
 type pendingApply struct {
 	request  uint64
 	document validator.Document
+	// bytes is the size of the document as it was sent.
+	bytes    int
 	deadline time.Time
 	// effectDeadline ends the wait for an accepted change to be in effect.
 	effectDeadline time.Time
@@ -50,6 +74,11 @@
 }
 
 func (c *Controller) onApply(now time.Time, v Apply) {
+	if len(v.Document) > c.maxDocumentBytes {
+		problem := validator.Problem{Path: "document", Detail: fmt.Sprintf("has %d bytes in the system's own form; the memory of the control replicas allows %d", len(v.Document), c.maxDocumentBytes)}
+		c.emit(ApplyReply{Request: v.Request, Problems: []validator.Problem{problem}, Status: ApplyRefused})
+		return
+	}
 	doc, problems := validator.Parse(v.Document)
 	if len(problems) == 0 {
 		problems = c.checkStops(now, doc)
@@ -58,7 +87,7 @@
 		c.emit(ApplyReply{Request: v.Request, Problems: problems, Status: ApplyRefused})
 		return
 	}
-	if _, ok := c.committer.Answer(doc); !ok && (len(c.pendingApplies) >= maxPendingApplies || !c.proposeChange(doc)) {
+	if _, ok := c.committer.Answer(doc); !ok && (!c.hasRoomFor(len(v.Document)) || !c.proposeChange(doc)) {
 		c.emit(ApplyReply{Request: v.Request, Status: ApplyNotProposed})
 		return
 	}
@@ -66,10 +95,18 @@
 	c.replyToApplies(now)
 }
 
+// hasRoomFor reports whether a change with so many bytes may wait beside the others.
+func (c *Controller) hasRoomFor(bytes int) bool {
+	for _, p := range c.pendingApplies {
+		bytes += p.bytes
+	}
+	return len(c.pendingApplies) == 0 || (len(c.pendingApplies) < maxPendingApplies && bytes <= maxPendingApplyBytes)
+}
+
 func newPendingApply(now time.Time, v Apply, doc validator.Document) pendingApply {
 	timeout := cmp.Or(v.Timeout, ApplyTimeout)
 	return pendingApply{
-		request: v.Request, document: doc,
+		request: v.Request, document: doc, bytes: len(v.Document),
 		deadline: now.Add(timeout), effectDeadline: now.Add(cmp.Or(v.EffectTimeout, timeout)), reproposeAt: now.Add(reproposeInterval),
 	}
 }
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -16,6 +16,7 @@
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/registrar"
 	"comfreyplank.org/core/replicator"
+	"comfreyplank.org/core/validator"
 )
 
 // Timeouts and intervals of a controller.
@@ -41,10 +42,15 @@
 	shareRequestInterval = 2 * time.Second
 )
 
-// Log lengths above which a snapshot replaces the log.
+// Lengths and sizes of a log above which a snapshot replaces it. A log may be as large as some snapshots, as each one is
+// written whole.
 const (
 	configSnapshotThreshold = 256
+	configSnapshotBytes     = 4 << 20
+	configBytesPerSnapshot  = 2
 	claimsSnapshotThreshold = 20_000
+	claimsSnapshotBytes     = 16 << 20
+	claimsBytesPerSnapshot  = 1
 	// claimsThresholdPerKey is the number of log entries per stored key that a snapshot waits
 	// for.
 	claimsThresholdPerKey = 1
@@ -85,7 +91,9 @@
 	entryUpdateAt time.Time
 	peerStates    map[string]*peerState
 
-	pendingApplies []pendingApply
+	// maxDocumentBytes is the size of the largest document that is accepted.
+	maxDocumentBytes int
+	pendingApplies   []pendingApply
 	// pendingEvacuations are the orders whose operators wait for the reply.
 	pendingEvacuations []pendingEvacuation
 	pendingDepartures  []pendingDeparture
@@ -209,6 +217,7 @@
 		entryAllotters:   make(map[string]*allotter.Allotter),
 		permits:          permitter.New(),
 		admission:        newAdmission(now),
+		maxDocumentBytes: validator.MaxDocumentBytes,
 		lastClockAdvance: now,
 		nextPresence:     now,
 		nextShareRequest: now,
--- a/core/controller/group.go
+++ b/core/controller/group.go
@@ -150,14 +150,9 @@
 	c.applyConfig(now, e.Data)
 }
 
-// compact replaces the log of a group by a snapshot once the log is too long.
+// compact replaces the log of a group by a snapshot once the log is too long or too large.
 func (c *Controller) compact(g *group) {
-	limit := configSnapshotThreshold
-	if g.id == messenger.GroupClaims {
-		// The cost of a snapshot grows with the state, so the threshold does too.
-		limit = max(claimsSnapshotThreshold, claimsThresholdPerKey*c.claimer.Len())
-	}
-	if g.persisting || g.replica.LogLength() <= limit {
+	if g.persisting || !c.isTooLong(g) {
 		return
 	}
 	data, err := c.encodeState(g.id)
@@ -170,6 +165,20 @@
 	}
 }
 
+// isTooLong reports whether a snapshot would replace enough of the log to be worth its cost, which grows with the state.
+func (c *Controller) isTooLong(g *group) bool {
+	entries, bytes, bytesPerSnapshot := configSnapshotThreshold, configSnapshotBytes, configBytesPerSnapshot
+	if g.id == messenger.GroupClaims {
+		entries = max(claimsSnapshotThreshold, claimsThresholdPerKey*c.claimer.Len())
+		bytes, bytesPerSnapshot = claimsSnapshotBytes, claimsBytesPerSnapshot
+	}
+	if g.replica.LogLength() > entries {
+		return true
+	}
+	limit := max(bytes, bytesPerSnapshot*g.replica.SnapshotBytes())
+	return g.replica.LogBytes() > limit && g.replica.BytesUpTo(g.applied) > limit/2
+}
+
 func (c *Controller) encodeState(id messenger.Group) ([]byte, error) {
 	if id == messenger.GroupClaims {
 		return c.claimer.Snapshot()
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -19,6 +19,7 @@
 	ErrNotLeader      = errors.New("this replica is not the leader")
 	ErrChangePending  = errors.New("another membership change is under way")
 	ErrChangeTooLarge = errors.New("a membership change may add or remove one voter")
+	ErrBacklog        = errors.New("too much waits to be committed")
 )
 
 // The default timing of a replica.
@@ -36,6 +37,14 @@
 	maxUnackedAppends   = 8
 )
 
+// What a replica keeps in memory for others, in bytes. A single larger entry is let pass.
+const (
+	// maxUncommittedBytes limits the entries of a leader that wait to be committed.
+	maxUncommittedBytes = 16 << 20
+	// maxOutputBytes limits the entries that wait for the local disk, and those that one Output passes on as committed.
+	maxOutputBytes = 4 << 20
+)
+
 // Role is the role of a replica in its current term.
 type Role uint8
 
@@ -97,7 +106,7 @@
 type Stored struct {
 	State    HardState
 	Snapshot Snapshot
-	// Entries follow the snapshot without gaps.
+	// Entries follow the snapshot without gaps. They may be packed.
 	Entries []Entry
 	// Committed is an entry known to be committed before the replica stopped, or zero if there
 	// is none. Later entries may be committed too, and the log may lack the entry.
@@ -293,13 +302,22 @@
 func (r *Replica) LastIndex() uint64 { return r.log.lastIndex() }
 
 // LogLength returns the number of log entries after the snapshot.
-func (r *Replica) LogLength() int { return len(r.log.entries) }
+func (r *Replica) LogLength() int { return r.log.list.Len() }
+
+// LogBytes returns the size of the log entries after the snapshot.
+func (r *Replica) LogBytes() int { return r.log.list.Bytes() }
 
-// Entries returns the log entries after the snapshot.
-func (r *Replica) Entries() []Entry {
-	return r.log.slice(r.log.baseIndex+1, r.log.lastIndex(), len(r.log.entries))
+// BytesUpTo returns the size of the log entries after the snapshot up to index.
+func (r *Replica) BytesUpTo(index uint64) int {
+	return r.log.list.Bytes() - r.log.bytesAfter(min(index, r.log.lastIndex()))
 }
 
+// SnapshotBytes returns the size of the latest snapshot.
+func (r *Replica) SnapshotBytes() int { return len(r.stored.Data) }
+
+// Entries returns the log entries after the snapshot, some of them packed.
+func (r *Replica) Entries() []Entry { return r.log.list.Kept() }
+
 // LastQuorumContact returns the latest time at which a quorum is known to have followed the
 // leader of this term, or zero if there is none. Commit includes every entry that was committed by then; a new leader
 // knows that only once the first entry of its term is committed.
@@ -335,7 +353,7 @@
 	return 0
 }
 
-// TakeOutput returns the collected Output and starts a new one.
+// TakeOutput returns the collected Output and starts a new one. If it isn't empty, there may be more.
 func (r *Replica) TakeOutput() Output {
 	if r.role == RoleLeader {
 		r.sendNewEntries()
@@ -346,8 +364,8 @@
 		r.stateChanged = false
 	}
 	if r.commitIndex > r.deliveredIndex {
-		r.out.Committed = r.log.slice(r.deliveredIndex+1, r.commitIndex, int(r.commitIndex-r.deliveredIndex))
-		r.deliveredIndex = r.commitIndex
+		r.out.Committed = r.log.slice(r.deliveredIndex+1, r.commitIndex, int(r.commitIndex-r.deliveredIndex), maxOutputBytes)
+		r.deliveredIndex += uint64(len(r.out.Committed))
 	}
 	out := r.out
 	r.out = Output{}
@@ -385,7 +403,10 @@
 // membershipAt returns the membership that was in effect after the entry at index.
 func (r *Replica) membershipAt(index uint64) Membership {
 	members := r.stored.Members
-	for _, e := range r.log.slice(r.log.baseIndex+1, index, len(r.log.entries)) {
+	for _, e := range r.log.list.entries {
+		if e.Index > index {
+			break
+		}
 		if e.Kind != EntryMembership {
 			continue
 		}
--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -40,6 +40,8 @@
 	delayed []delayedMessage
 	// lost are the nodes whose disks are lost for good.
 	lost map[ID]bool
+	// pauseDisk is a node whose disk hangs: its output is not taken.
+	pauseDisk ID
 	// paused holds what has arrived at a node that stands still.
 	paused map[ID][]Envelope
 	// onDeliver is called for each message that is about to arrive, if it is set. It returns the message to deliver.
@@ -94,7 +96,7 @@
 
 // flush carries out the output of a node until there is none left.
 func (w *network) flush(n *node) {
-	for {
+	for n.ID() != w.pauseDisk {
 		out := n.TakeOutput()
 		if out.Empty() {
 			return
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -9,6 +9,9 @@
 // that the command will be committed.
 func (r *Replica) Propose(data []byte) error {
 	if r.role == RoleLeader && r.transferTo == "" {
+		if r.hasBacklog(len(data)) {
+			return ErrBacklog
+		}
 		r.appendEntry(EntryCommand, data)
 		return nil
 	}
@@ -20,11 +23,20 @@
 }
 
 func (r *Replica) onForward(m Forward) {
-	if r.role == RoleLeader && r.transferTo == "" {
+	if r.role == RoleLeader && r.transferTo == "" && !r.hasBacklog(len(m.Data)) {
 		r.appendEntry(EntryCommand, m.Data)
 	}
 }
 
+// hasBacklog reports whether an entry with so many bytes must wait until others are committed.
+func (r *Replica) hasBacklog(bytes int) bool {
+	if r.log.list.Bytes()+bytes <= maxUncommittedBytes {
+		return false
+	}
+	uncommitted := r.log.bytesAfter(r.commitIndex)
+	return uncommitted > 0 && uncommitted+bytes > maxUncommittedBytes
+}
+
 // ChangeMembers replaces the membership. At most one voter may be added or removed, and only
 // after the previous change has been committed.
 func (r *Replica) ChangeMembers(now time.Time, next Membership) error {
@@ -98,25 +110,13 @@
 	prevTerm, _ := r.log.term(prev)
 	var entries []Entry
 	if !p.probing {
-		entries = limitBytes(r.log.slice(p.next, r.log.lastIndex(), maxEntriesPerAppend))
+		entries = r.log.slice(p.next, r.log.lastIndex(), maxEntriesPerAppend, maxBytesPerAppend)
 	}
 	p.next += uint64(len(entries))
 	p.unacked++
 	r.send(to, Append{PrevIndex: prev, PrevTerm: prevTerm, Entries: entries, Commit: r.commitIndex, LeaderTime: leaderTime, Echo: p.followerTime, EchoRun: p.run, QuorumAge: quorumAge})
 }
 
-// limitBytes returns the first entries that fit into maxBytesPerAppend, but at least one.
-func limitBytes(entries []Entry) []Entry {
-	size := 0
-	for i, e := range entries {
-		size += len(e.Data)
-		if size > maxBytesPerAppend && i > 0 {
-			return entries[:i]
-		}
-	}
-	return entries
-}
-
 func (r *Replica) followLeader(now time.Time, leader ID) {
 	if r.role != RoleFollower || r.leader != leader {
 		r.becomeFollower(now, r.state.Term, leader)
@@ -127,6 +127,9 @@
 
 func (r *Replica) onAppend(now time.Time, e Envelope, m Append) {
 	r.followLeader(now, e.From)
+	if r.unstoredBytes() > maxOutputBytes {
+		m.Entries = nil // the disk doesn't keep up; the leader sends them again
+	}
 	reply := r.reply(now, m.LeaderTime)
 	switch term, ok := r.log.term(m.PrevIndex); {
 	case m.PrevIndex < r.commitIndex:
@@ -163,6 +166,15 @@
 	return reply
 }
 
+// unstoredBytes returns the size of the entries that wait for the next Output.
+func (r *Replica) unstoredBytes() int {
+	n := 0
+	for _, e := range r.out.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
 func entriesAfter(entries []Entry, index uint64) []Entry {
 	for i, e := range entries {
 		if e.Index > index {
--- a/core/replicator/transfer_test.go
+++ b/core/replicator/transfer_test.go
@@ -183,7 +183,6 @@
 // TestSnapshotsPassSlowLinks guards against a transfer that repeats each piece while it is on its way, or starts again
 // without end, and against commits that wait for it.
 func TestSnapshotsPassSlowLinks(t *testing.T) {
-	const megabyte = 1 << 20
 	tests := []struct {
 		name   string
 		link   link
--- a/shell/encoder/peer.go
+++ b/shell/encoder/peer.go
@@ -105,6 +105,7 @@
 }
 
 func encodeEntry(e replicator.Entry) *wire.Entry {
+	e = e.Unpacked()
 	return &wire.Entry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data}
 }
 
