Take an order only while its sender surely waits

An order to end the evacuation had waited in the socket of a frozen control machine and was carried out after newer orders.

Cause: an order has no version; the revision that it changes was read when the replica read the order, not when it was given.

Change: a replica notes before any input that it stood still (a gap of over 500 ms; it calls itself every 200 ms). An order is dated by its connection, and gets its base only within 400 ms of that, without a standstill in between or in the second before; otherwise it is refused with 503 and changes nothing. An order whose sender has left is withdrawn. Responses to operators close their connection.

--- a/control/driver/requests.go
+++ b/control/driver/requests.go
@@ -39,10 +39,14 @@
 // Evacuate begins or finishes the evacuation of a data centre and waits for its outcome. It sets the Request field of the
 // order.
 func (d *Driver) Evacuate(ctx context.Context, order controller.Evacuate) (controller.EvacuateReply, error) {
-	return submit(ctx, d, "evacuate", d.pendingOrders, func(number uint64) controller.Input {
+	reply, err := submit(ctx, d, "evacuate", d.pendingOrders, func(number uint64) controller.Input {
 		order.Request = number
 		return order
 	})
+	if err != nil {
+		d.handle(controller.Withdraw{Request: order.Request})
+	}
+	return reply, err
 }
 
 // ReadDocument returns the current configuration. The reply states whether a quorum confirmed it.
--- a/control/operator/evacuation.go
+++ b/control/operator/evacuation.go
@@ -8,6 +8,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"comfreyplank.org/core/controller"
+	"comfreyplank.org/shell/dater"
 	"comfreyplank.org/shell/reporter"
 )
 
@@ -24,11 +25,13 @@
 		if !o.authorized(w, r) {
 			return
 		}
+		dater.CloseAfterResponse(w)
 		ctx, cancel := context.WithTimeout(r.Context(), evacuationTimeout+replyMargin)
 		defer cancel()
 		reply, err := o.driver.Evacuate(ctx, controller.Evacuate{
 			DataCentre: chi.URLParam(r, "data-centre"), Active: active, MustBeKnown: true,
 			Timeout: evacuationTimeout, EffectTimeout: evacuationEffectTimeout,
+			Since: dater.Since(r), CurrentFor: evacuationTimeout,
 		})
 		if err != nil {
 			reply.Status = controller.ApplyUnknown
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -23,6 +23,7 @@
 	"comfreyplank.org/core/recorder"
 	"comfreyplank.org/core/replicator"
 	"comfreyplank.org/shell/completer"
+	"comfreyplank.org/shell/dater"
 	"comfreyplank.org/shell/narrator"
 	"comfreyplank.org/shell/publisher"
 )
@@ -182,9 +183,11 @@
 	return servers, nil
 }
 
-// newServer returns a server of which no request ends without a response.
+// newServer returns a server of which no request ends without a response, and whose requests can be dated.
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: completer.Handler(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{Handler: completer.Handler(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	dater.New(time.Now).Observe(s)
+	return s
 }
 
 func adminHandler(o *operator.Operator, c *console.Console) http.Handler {
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -139,6 +139,10 @@
 	admission        admission
 	// sentLimits is set if the last list of all limits was not empty.
 	sentLimits bool
+	// lastInput is the time of the last input, and stoodStillAt when this process last noticed that it had stood still; zero if
+	// it has not.
+	lastInput    time.Time
+	stoodStillAt time.Time
 	// lastTick is the time of the last Tick.
 	lastTick time.Time
 	// nextStore is the earliest time at which the endpoints may be stored again. storedDigest is
@@ -326,6 +330,7 @@
 // Handle processes one input. The returned actions are valid until the next call.
 func (c *Controller) Handle(now time.Time, input Input) []Action {
 	c.actions = c.actions[:0]
+	c.noteInput(now)
 	switch v := input.(type) {
 	case Tick:
 		c.tick(now)
@@ -341,6 +346,8 @@
 		c.onApply(now, v)
 	case Evacuate:
 		c.onEvacuate(now, v)
+	case Withdraw:
+		c.dropEvacuations(func(p pendingEvacuation) bool { return p.request == v.Request && !p.proposed && !p.stored })
 	case Announce:
 		c.onAnnounce(now, v)
 	case ReadDocument:
@@ -359,6 +366,7 @@
 	c.upToDateAt = time.Time{}
 	c.config.replica.Resume(now)
 	c.claims.replica.Resume(now)
+	c.onStoodStill(now)
 }
 
 func (c *Controller) tick(now time.Time) {
--- a/core/controller/due.go
+++ b/core/controller/due.go
@@ -18,6 +18,9 @@
 		c.config.replica.Due(), c.claims.replica.Due(),
 		c.nextPresence, c.nextShareRequest, c.nextStore, c.nextEntryExpiry, c.nextClaimDeadline(), c.entryUpdateAt, c.limitsDue(), c.admissionDue(),
 	)
+	if !c.lastInput.IsZero() {
+		due = scheduler.Earliest(due, c.lastInput.Add(aliveInterval))
+	}
 	if c.pushPending {
 		due = scheduler.Earliest(due, c.nextPush)
 	}
--- a/core/controller/evacuation.go
+++ b/core/controller/evacuation.go
@@ -20,6 +20,8 @@
 	request  uint64
 	command  committer.Evacuation
 	deadline time.Time
+	// currentUntil is the time from which on its sender may have given another order. Only before it is the order proposed.
+	currentUntil time.Time
 	// effectDeadline ends the wait for a stored order to be in effect.
 	effectDeadline time.Time
 	// proposed is set once the command has been proposed, with the revision that a quorum has confirmed as its base.
@@ -33,19 +35,27 @@
 
 // onEvacuate handles an order of an operator. The state of this replica may be out of date, so it first lets a quorum
 // confirm it: an order that already holds then needs no log entry.
+//
+// An order has no version: what it is to change is the state at the time at which it was given. An order that may have waited,
+// so that its sender may have left and given another one, is not taken.
 func (c *Controller) onEvacuate(now time.Time, v Evacuate) {
+	timeout := cmp.Or(v.Timeout, ApplyTimeout)
+	since := v.Since
+	if since.IsZero() {
+		since = now
+	}
+	currentUntil := since.Add(cmp.Or(v.CurrentFor, timeout))
 	switch {
 	case !validator.ValidName(v.DataCentre) || (v.MustBeKnown && c.inContactWithQuorum(now) && !c.knowsDataCentre(v.DataCentre)):
 		c.emit(EvacuateReply{Request: v.Request, Status: ApplyRefused})
 		return
-	case c.config.replica.Leader() == "" || len(c.pendingEvacuations) >= maxPendingEvacuations:
+	case c.config.replica.Leader() == "" || len(c.pendingEvacuations) >= maxPendingEvacuations || !now.Before(currentUntil) || c.mayHaveWaited(since):
 		c.emit(EvacuateReply{Request: v.Request, Status: ApplyNotProposed})
 		return
 	}
-	timeout := cmp.Or(v.Timeout, ApplyTimeout)
 	c.pendingEvacuations = append(c.pendingEvacuations, pendingEvacuation{
 		request: v.Request, command: committer.Evacuation{DataCentre: v.DataCentre, Active: v.Active},
-		deadline: now.Add(timeout), effectDeadline: now.Add(cmp.Or(v.EffectTimeout, timeout)),
+		deadline: now.Add(timeout), effectDeadline: now.Add(cmp.Or(v.EffectTimeout, timeout)), currentUntil: currentUntil,
 	})
 	c.startEvacuationRead(now, v.Request)
 }
@@ -90,12 +100,27 @@
 		c.replyToEvacuations(now)
 		return
 	}
+	if !now.Before(p.currentUntil) {
+		c.dropEvacuations(func(p pendingEvacuation) bool { return p.request == request })
+		return
+	}
 	p.proposed = true
 	p.command.BaseRevision = c.committer.Revision()
 	p.reproposeAt = now.Add(reproposeInterval)
 	c.propose(p.command) // without a leader it is proposed again later
 }
 
+// dropEvacuations gives up orders whose commands have not been proposed.
+func (c *Controller) dropEvacuations(drop func(pendingEvacuation) bool) {
+	c.pendingEvacuations = slices.DeleteFunc(c.pendingEvacuations, func(p pendingEvacuation) bool {
+		if !drop(p) {
+			return false
+		}
+		c.emit(EvacuateReply{Request: p.request, Status: ApplyUnknown})
+		return true
+	})
+}
+
 func (c *Controller) applyEvacuation(now time.Time, e committer.Evacuation) {
 	if c.committer.Evacuate(e) {
 		kind := recorder.KindEvacuationFinished
@@ -146,7 +171,7 @@
 		return ApplyInEffect
 	case p.stored && !now.Before(p.effectDeadline):
 		return ApplyNotInEffect
-	case !p.stored && !now.Before(p.deadline):
+	case !p.stored && !now.Before(p.deadline), !p.stored && !p.proposed && !now.Before(p.currentUntil):
 		return ApplyUnknown
 	}
 	return 0
--- a/core/controller/input.go
+++ b/core/controller/input.go
@@ -58,6 +58,12 @@
 	DataCentre string
 	// Active is set to begin the evacuation.
 	Active bool
+	// Since is no later than the time at which the order can have been sent: when its connection was accepted, or was last
+	// idle. Zero means that it has just been sent.
+	Since time.Time
+	// CurrentFor is how long after Since its sender surely gives no other order. Later, the order must not begin to take
+	// effect. Zero means Timeout.
+	CurrentFor time.Duration
 	// MustBeKnown is set to refuse a data centre of which this replica knows neither an endpoint nor an entry.
 	MustBeKnown bool
 	// Timeout limits the wait until a quorum has stored the order; zero means ApplyTimeout.
@@ -67,6 +73,11 @@
 	EffectTimeout time.Duration
 }
 
+// Withdraw reports that the sender of an Evacuate has left without its reply.
+type Withdraw struct {
+	Request uint64
+}
+
 // Announce is an announcement that an endpoint sent directly to this replica.
 type Announce struct {
 	// Request is copied to the AnnounceReply.
@@ -91,6 +102,7 @@
 func (EntryDisconnected) input()  {}
 func (Persisted) input()          {}
 func (Apply) input()              {}
+func (Withdraw) input()           {}
 func (Evacuate) input()           {}
 func (Announce) input()           {}
 func (ReadDocument) input()       {}
