Forget shares of the probe budget after a suspension

Callers' endpoints would see: more probes than the budget, for up to a share's lifetime after a control machine was suspended.

Cause: a share ends by the replica's monotonic clock, which stands still during a suspension, while the leader gives the share to others. So does the time of a reply that waited in the socket. The same class as the waiting orders: what a process knows of time ends with a standstill.

Change: a replica that resumes forgets its shares, and takes no reply to a request from before it.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -361,11 +361,12 @@
 	return c.actions
 }
 
-// onResumed forgets all contact from before a suspension: by the clock, it may seem recent.
+// onResumed forgets all contact from before a suspension, and the shares that came with it: by the clock, they may seem recent.
 func (c *Controller) onResumed(now time.Time) {
 	c.upToDateAt = time.Time{}
 	c.config.replica.Resume(now)
 	c.claims.replica.Resume(now)
+	clear(c.shares)
 	c.onStoodStill(now)
 }
 
--- a/core/controller/watching.go
+++ b/core/controller/watching.go
@@ -83,9 +83,10 @@
 }
 
 func (c *Controller) onShareReply(v messenger.ShareReply) {
-	if v.Run == c.incarnation {
+	sent := c.startedAt.Add(v.Sent)
+	if v.Run == c.incarnation && !sent.Before(c.stoodStillAt) {
 		c.reportedEntries = v.Entries
-		c.storeShares(c.startedAt.Add(v.Sent), v.Shares)
+		c.storeShares(sent, v.Shares)
 	}
 }
 
