Have a replica that starts with a full disk wait for room

Operators would see: a control machine that is started while its disk is full ends at once, again and again (a crash loop, by the users' rules after three).

Change: on ENOSPC it waits and tries again each second.

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"comfreyplank.org/control/journaler"
 	"comfreyplank.org/core/controller"
@@ -146,7 +147,7 @@
 		pendingOrders:    make(map[uint64]chan controller.EvacuateReply),
 		pendingAnnounces: make(map[uint64]chan controller.AnnounceReply),
 	}
-	state, id, err := d.open()
+	state, id, err := d.openWithRoom()
 	if err != nil {
 		lock.Release()
 		return nil, err
@@ -179,6 +180,23 @@
 	return names
 }
 
+// openWithRoom opens the data folder, and waits while the disk is full: a process that ended instead would be started again
+// and again.
+func (d *Driver) openWithRoom() (controller.StoredState, replicator.ID, error) {
+	for {
+		state, id, err := d.open()
+		if !errors.Is(err, unix.ENOSPC) {
+			return state, id, err
+		}
+		slog.Error("the disk is full; the replica starts once it has room", "error", err)
+		for g, w := range d.journals {
+			_ = w.journal.Close() // it is opened again
+			delete(d.journals, g)
+		}
+		time.Sleep(retryInterval)
+	}
+}
+
 func (d *Driver) open() (controller.StoredState, replicator.ID, error) {
 	var state controller.StoredState
 	id, err := d.disk.Identity(logNames()...)
--- a/control/journaler/crashdisk_test.go
+++ b/control/journaler/crashdisk_test.go
@@ -25,6 +25,8 @@
 	before func(operation string)
 	// operations counts them. The one with number failing fails, unless it is zero.
 	operations, failing int
+	// refuse returns the error of an operation that the disk refuses, if it is set.
+	refuse func(operation string) error
 }
 
 // inode is a file or a folder.
@@ -58,6 +60,11 @@
 func (d *crashDisk) operate(operation string) error {
 	d.before(operation)
 	d.operations++
+	if d.refuse != nil {
+		if err := d.refuse(operation); err != nil {
+			return err
+		}
+	}
 	if d.operations == d.failing {
 		return errInjected
 	}
