Count `100 Continue` among the informational responses

Cause: only informational responses that are passed on were counted.

Change: six heads at most are read for a response, whatever their status, and all of them share 64 KiB, where each had them.

--- a/entry/dispatcher/endless_test.go
+++ b/entry/dispatcher/endless_test.go
@@ -65,6 +65,8 @@
 	{"single header line", "HTTP/1.1 200 OK\r\nX-Long: ", "a", refused},
 	{"many header lines", "HTTP/1.1 200 OK\r\n", "X-Line: a\r\n", refused},
 	{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", refused},
+	{"continue", "", "HTTP/1.1 100 Continue\r\n\r\n", refused},
+	{"informational responses with long headers", "", "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("Link: a\r\n", 1000) + "\r\n", refused},
 	{"chunk size", chunked, "0", refused},
 	{"chunk extension", chunked + "5;", "a", refused},
 	{"single trailer", chunked + "2\r\nok\r\n0\r\nX-Trailer: ", "a", refused},
--- /dev/null
+++ b/entry/dispatcher/heads_test.go
@@ -0,0 +1,97 @@
+package dispatcher
+
+import (
+	"bufio"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEndlessContinueIsRefusedAtOnce guards against an entry that reads `100 Continue` without end until the request's time is
+// over, for each call to a faulty endpoint.
+func TestEndlessContinueIsRefusedAtOnce(t *testing.T) {
+	e := newEndlessEndpoint(t, "", "HTTP/1.1 100 Continue\r\n\r\n", false)
+	f := newFixture(t)
+	f.configureRoute(e.address)
+	start := time.Now()
+	got, _ := f.get(t.Context())
+	assert.Equal(t, got, refused)
+	assert.Assert(t, time.Since(start) < routeDeadline/2, "%s", time.Since(start))
+}
+
+// TestHeadsOfManyCallsAreBounded guards against an entry that runs out of memory with many calls to endpoints that send long
+// heads and informational responses, and then nothing: all of it is kept until the calls end.
+func TestHeadsOfManyCallsAreBounded(t *testing.T) {
+	const (
+		calls = 100
+		// bytesOfCall is several times the limit of headers, as decoded ones take more.
+		bytesOfCall = 768 << 10
+	)
+	hints := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("L: a\r\n", 9000) + "\r\n"
+	tests := []struct{ name, first string }{
+		{"informational responses", strings.Repeat(hints, 5)},
+		{"many header lines", "HTTP/1.1 200 OK\r\n" + strings.Repeat("L: a\r\n", 10000)},
+		{"one long line", "HTTP/1.1 200 OK\r\nL: " + strings.Repeat("a", 60<<10)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address := startStalling(t, tt.first)
+			f := newFixture(t)
+			f.configureRoute(address)
+			runtime.GC()
+			before := heapInUse()
+			var group sync.WaitGroup
+			for range calls {
+				group.Go(func() { f.get(t.Context()) })
+			}
+			most := uint64(0)
+			for end := time.Now().Add(routeDeadline); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				most = max(most, heapInUse())
+			}
+			group.Wait()
+			assert.Assert(t, most <= before+calls*bytesOfCall, "the heap grew by %d bytes", most-before)
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse
+}
+
+// startStalling starts an endpoint that sends the same bytes to each request, and then nothing until the caller leaves.
+func startStalling(t *testing.T, first string) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				if _, err := reader.ReadString('\n'); err != nil {
+					return
+				}
+				if _, err := conn.Write([]byte(first)); err != nil {
+					return
+				}
+				for err == nil { // until the entry closes
+					_, err = reader.ReadByte()
+				}
+			})
+		}
+	})
+	return listener.Addr().String()
+}
--- a/entry/forwarder/connection.go
+++ b/entry/forwarder/connection.go
@@ -28,13 +28,18 @@
 
 // Limits of what an endpoint may send.
 const (
+	// maxHeaderBytes limits the headers of a response and of the informational ones before it together: a call keeps no more
+	// than that beside the part of the body that is being passed on.
 	maxHeaderBytes   = 64 << 10
 	maxInformational = 5
 	bufferBytes      = 8 << 10
 )
 
-// errHeaderTooLarge is returned when an endpoint sends too much ahead of the response's body.
-var errHeaderTooLarge = errors.New("the endpoint's header is too large")
+// Errors of what an endpoint sends ahead of the response's body.
+var (
+	errHeaderTooLarge       = errors.New("the endpoint's headers are too large")
+	errTooManyInformational = errors.New("the endpoint sends too many informational responses")
+)
 
 // pastDeadline lies in the past: setting it interrupts pending reads and writes.
 var pastDeadline = time.Unix(1, 0)
@@ -236,23 +241,21 @@
 func (c *connection) receive(request *http.Request) (*http.Response, []Informational, error) {
 	var informational []Informational
 	c.inspector.Begin(request.Method)
-	for {
-		c.headerBudget = maxHeaderBytes
+	c.headerBudget = maxHeaderBytes
+	defer func() { c.headerBudget = -1 }()
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, request)
-		c.headerBudget = -1
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read response")
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, informational, nil
 		}
-		if len(informational) >= maxInformational {
-			return nil, nil, errHeaderTooLarge
-		}
 		if response.StatusCode != http.StatusContinue {
 			informational = append(informational, Informational{response.StatusCode, response.Header})
 		}
 	}
+	return nil, nil, errTooManyInformational
 }
 
 // interruptOnDone interrupts pending reads and writes when the context ends. The returned
