--- a/core/controller/memory_test.go
+++ b/core/controller/memory_test.go
@@ -16,7 +16,7 @@
 )
 
 // largeSource is the size of the document of an author, in bytes.
-const largeSource = 1 << 20
+const largeSource = 512 << 10
 
 // journalBytes returns the size of the entries in a journal.
 func journalBytes(disk *replicator.Stored) int {
@@ -32,7 +32,7 @@
 func TestLogOfLargeDocumentsIsBounded(t *testing.T) {
 	const bound = 4<<20 + 3*largeSource
 	s := newReadySimulation(t, 3, 1)
-	for i := range 60 {
+	for i := range 40 {
 		doc := documentWithGeneration(uint64(i+1), i+1)
 		doc.Source = strings.Repeat(fmt.Sprintf("%08d", i), largeSource/8)
 		for s.leader() == nil {
@@ -41,14 +41,14 @@
 		s.apply(s.leader(), doc)
 		s.runFor(300 * time.Millisecond)
 		switch i {
-		case 10:
+		case 6:
 			s.isolate(s.replicas[0].name, true)
-		case 25:
+		case 17:
 			s.isolate(s.replicas[0].name, false)
-		case 30:
+		case 20:
 			s.crash(s.replicas[1])
 			s.start(s.replicas[1])
-		case 40:
+		case 27:
 			s.replicas[2].diskUntil = s.now.Add(5 * time.Second)
 		}
 		for _, c := range s.replicas {
@@ -61,7 +61,7 @@
 		_, doc := c.stateMachine.Document()
 		assert.Equal(t, doc.Generation, s.acknowledged)
 	}
-	assert.Equal(t, s.acknowledged, uint64(60))
+	assert.Equal(t, s.acknowledged, uint64(40))
 }
 
 // TestDocumentBeyondTheMemoryIsRefused guards against a document that is acknowledged, and then ends the replicas.
