--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -23,7 +23,7 @@
 // replyMargin is how much longer an operator's request waits than the state machine does.
 const replyMargin = 2 * time.Second
 
-// maxDocuments is how many documents may be on their way at once; one at a time is decoded.
+// maxDocuments is how many documents may wait for the replica at once.
 const maxDocuments = 16
 
 // Operator serves the operators' HTTP interface of one replica.
