--- a/core/router/router.go
+++ b/core/router/router.go
@@ -4,7 +4,6 @@
 import (
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"strings"
 
@@ -13,12 +12,13 @@
 
 // Match is the result of matching a request to a route.
 type Match struct {
-	// prefix is the path prefix of the route with its percent-encodings decoded.
-	prefix string
+	prefix prefix
 	// Service is the service that defines the route. PickService returns the one that
 	// handles a request.
 	Service string
 	Route   validator.Route
+	// otherExecutions are those of the routes that other readings of the path lead to, as far as they differ.
+	otherExecutions []validator.Execution
 }
 
 // PickService returns the service that handles a request, according to the weights of the
@@ -42,57 +42,99 @@
 type Router struct {
 	// routes are ordered from most to least specific.
 	routes []Match
+	// plain tells whether each prefix has one reading only.
+	plain bool
 }
 
 // New returns a router for the routes of a document.
 func New(doc validator.Document) Router {
-	var routes []Match
+	router := Router{plain: true}
 	for _, s := range doc.Services {
 		for _, r := range s.Routes {
-			routes = append(routes, Match{prefix: decodePrefix(r.PathPrefix), Service: s.Name, Route: r})
+			router.routes = append(router.routes, Match{prefix: newPrefix(r.PathPrefix), Service: s.Name, Route: r})
+			router.plain = router.plain && isPlain(r.PathPrefix)
 		}
 	}
-	slices.SortStableFunc(routes, compareSpecificity)
-	return Router{routes: routes}
+	slices.SortStableFunc(router.routes, compareSpecificity)
+	return router
 }
 
 // compareSpecificity orders routes by the length of their path prefixes, then of their hosts,
 // longest first.
 func compareSpecificity(a, b Match) int {
-	if d := len(b.prefix) - len(a.prefix); d != 0 {
+	if d := len(b.prefix.normal) - len(a.prefix.normal); d != 0 {
 		return d
 	}
 	return len(b.Route.Host) - len(a.Route.Host)
 }
 
-// decodePrefix decodes the percent-encodings of a path prefix. One in which a percent sign stands for itself is used as
-// it is.
-func decodePrefix(prefix string) string {
-	if decoded, err := url.PathUnescape(prefix); err == nil {
-		return decoded
-	}
-	return prefix
-}
-
-// Match returns the most specific route for a host and a path, if there is one. The path's percent-encodings are
-// decoded, as are those of the prefixes, so that one path in several spellings has one route; dots and empty segments
-// are segments like others.
+// Match returns the most specific route for a host and a path as the caller wrote it, if there is one. The route is that of the
+// path's normal form. Where another reading of the path leads to another route, that one's execution counts too.
 func (r Router) Match(host, path string) (Match, bool) {
 	host = normalHost(host)
-	for _, m := range r.routes {
-		if m.Route.Host != "" && m.Route.Host != host {
-			continue
+	if r.plain && isPlain(path) {
+		return r.find(host, path)
+	}
+	found, ok := r.find(host, normalForm(path))
+	if !ok {
+		return Match{}, false
+	}
+	for _, other := range otherReadings(path) {
+		if m, ok := r.longest(host, other); ok {
+			found = found.withOther(m.Route.Execution)
 		}
-		if hasPathPrefix(path, m.prefix) {
-			return m, true
+	}
+	return found, true
+}
+
+// find returns the most specific route for a path in its normal form.
+func (r Router) find(host, path string) (Match, bool) {
+	for i := range r.routes {
+		if m := &r.routes[i]; m.hasHost(host) && hasPathPrefix(path, m.prefix.normal) {
+			return *m, true
 		}
 	}
 	return Match{}, false
 }
 
-// Execution returns how a request with the given method may be executed on the route.
+// longest returns the route with the longest prefix in another reading, whose lengths may order the routes differently.
+func (r Router) longest(host string, path reading) (Match, bool) {
+	var longest *Match
+	length := -1
+	for i := range r.routes {
+		m := &r.routes[i]
+		p := m.prefix.in(path.form)
+		if len(p) > length && m.hasHost(host) && hasPathPrefix(path.path, p) {
+			longest, length = m, len(p)
+		}
+	}
+	if longest == nil {
+		return Match{}, false
+	}
+	return *longest, true
+}
+
+func (m *Match) hasHost(host string) bool { return m.Route.Host == "" || m.Route.Host == host }
+
+func (m Match) withOther(execution validator.Execution) Match {
+	if execution != m.Route.Execution && !slices.Contains(m.otherExecutions, execution) {
+		m.otherExecutions = append(m.otherExecutions, execution)
+	}
+	return m
+}
+
+// Execution returns how a request with the given method may be executed: as the route says, or as strictly as the strictest route
+// that another reading of its path leads to.
 func (m Match) Execution(method string) Execution {
-	switch m.Route.Execution {
+	strictest := executionOf(m.Route.Execution, method)
+	for _, other := range m.otherExecutions {
+		strictest = max(strictest, executionOf(other, method))
+	}
+	return strictest
+}
+
+func executionOf(setting validator.Execution, method string) Execution {
+	switch setting {
 	case validator.ExecutionRepeatable:
 		return Repeatable
 	case validator.ExecutionOnceOnly:
@@ -109,7 +151,7 @@
 // Execution states how often a request may be executed, as its route and method allow.
 type Execution uint8
 
-// The executions of a request.
+// The executions of a request, each stricter than the one before it.
 const (
 	// Repeatable requests may be retried and hedged.
 	Repeatable Execution = iota + 1
@@ -138,17 +180,6 @@
 	return false
 }
 
-// hasPathPrefix reports whether the path starts with the segments of the prefix.
-func hasPathPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	if strings.HasSuffix(prefix, "/") || len(path) == len(prefix) {
-		return true
-	}
-	return path[len(prefix)] == '/'
-}
-
 // normalHost returns the host in lower case and without a port.
 func normalHost(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/entry/dispatcher/body.go
+++ b/entry/dispatcher/body.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return forwarder.Request{}, bodyRefusal(err)
 	}
-	request := forwarder.Request{ID: call.Request, Method: r.Method, Target: target(r), Host: r.Host, Header: d.forwardedHeader(r, call.Request, from), Body: body, ContentLength: int64(len(body))}
+	request := forwarder.Request{ID: call.Request, Method: r.Method, Target: translator.Target(r), Host: r.Host, Header: d.forwardedHeader(r, call.Request, from), Body: body, ContentLength: int64(len(body))}
 	if len(body) <= limit {
 		call.Key = r.Header.Get(idempotencyKeyHeader)
 		if call.Execution == router.OnceOnly {
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -3,7 +3,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -208,13 +207,14 @@
 }
 
 // MayRunAhead reports whether a request without a body may run concurrently with others of its connection: only if
-// its route is repeatable, so that it doesn't matter whether it runs if one before it ends the connection.
+// its route is repeatable, so that it doesn't matter whether it runs if one before it ends the connection. The path is as the
+// caller wrote it.
 func (d *Dispatcher) MayRunAhead(method, host, path string) bool {
 	config := d.activeConfig.Load()
 	if config == nil {
 		return false
 	}
-	match, ok := config.router.Match(host, cmp.Or(path, "/"))
+	match, ok := config.router.Match(host, path)
 	return ok && match.Execution(method) == router.Repeatable
 }
 
@@ -231,6 +231,11 @@
 		d.refuse(w, parsed.ID, http.StatusNotImplemented, "connections can't be handed over")
 		return
 	}
+	path, ok := translator.Path(r)
+	if !ok {
+		d.refuse(w, parsed.ID, http.StatusBadRequest, "the target must be a path or an absolute URL, without a fragment")
+		return
+	}
 	config := d.awaitConfig(r.Context())
 	if config == nil {
 		d.deps.Publish(recorder.Event{Kind: recorder.KindCallRefused, Request: parsed.ID, Detail: "no configuration yet"})
@@ -246,7 +251,7 @@
 		held = d.heldLeases()
 		config = d.activeConfig.Load()
 	}
-	match, ok := config.router.Match(r.Host, routedPath(r))
+	match, ok := config.router.Match(r.Host, path)
 	if !ok {
 		d.refuse(w, parsed.ID, http.StatusNotFound, "no route leads there")
 		return
@@ -377,7 +382,7 @@
 // a workspace it is the same as in versions that knew none, as claims outlive a version.
 func fingerprint(r *http.Request, workspace string, body []byte) string {
 	h := sha256.New()
-	for _, part := range []string{r.Method, r.Host, target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")} {
+	for _, part := range []string{r.Method, r.Host, translator.Target(r), r.Header.Get("Authorization"), r.Header.Get("Cookie")} {
 		_, _ = io.WriteString(h, part+"\x00")
 	}
 	_, _ = h.Write(body)
--- a/entry/pipeliner/connection.go
+++ b/entry/pipeliner/connection.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreyplank.org/entry/translator"
 )
 
 // connection is a caller's connection. It passes the bytes that it reads on to the server unchanged and in order.
@@ -323,7 +325,8 @@
 	c.scanned = c.parsed
 	c.open = bodiless && c.aligned() && !c.ended && !c.closing
 	if c.open {
-		c.method, c.host, c.path = r.Method, r.Host, r.URL.Path
+		c.method, c.host = r.Method, r.Host
+		c.path, _ = translator.Path(r) // without a path it has no route
 		c.ctx, c.remoteAddr, c.next = r.Context(), r.RemoteAddr, next
 		c.startReady()
 	}
@@ -413,7 +416,10 @@
 		return nil
 	}
 	r := parse(head)
-	if r == nil || !c.pipeliner.mayRunAhead(r.Method, r.Host, r.URL.Path) {
+	if r == nil {
+		return nil
+	}
+	if path, ok := translator.Path(r); !ok || !c.pipeliner.mayRunAhead(r.Method, r.Host, path) {
 		return nil
 	}
 	return r
