--- a/core/controller/ratelimit_test.go
+++ b/core/controller/ratelimit_test.go
@@ -109,8 +109,10 @@
 	}
 }
 
+// send sends a call of a workspace. As the dispatcher does, an entry that has started anew and has no document yet refuses every
+// call: it knows no workspace and no limit.
 func (q *quotaSystem) send(e *simEntry, w *limitedWorkspace) {
-	if !e.up || e.frozen {
+	if _, configured := e.stateMachine.Revision(); !e.up || e.frozen || !configured {
 		return
 	}
 	d := e.admitter.Admit(q.now, w.name, serviceName, 0)
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -233,7 +233,7 @@
 		case subscriber.Send:
 			f.queue(v.Message)
 		case subscriber.Configure:
-			f.regulator.Configure(v.Document.Workspaces)
+			f.regulator.Configure(v.Document.Workspaces) // first, so that a call that finds its workspace finds its limit
 			f.dispatcher.Configure(v.Document)
 		case subscriber.UpdateAdmission:
 			f.regulator.Apply(v.Update)
