Weigh at most 64 numbers of requests against each other, however many slots there are

Cause: Contention.UsefulConcurrency weighs each number of requests up to the slots, for each sampled endpoint of each choice.

Change: at most 64 steps; a number stands for those between it and the one before. Up to 64 slots nothing changes. Looked for the same elsewhere: no other loop or allocation of the core, the entry or the platform goes over slots.

--- a/core/picker/crowding.go
+++ b/core/picker/crowding.go
@@ -92,19 +92,28 @@
 
 func clamp(v, low, high float64) float64 { return math.Min(math.Max(v, low), high) }
 
+// concurrencySteps is the most numbers of requests that are weighed against each other. With more slots than that, a number stands
+// for those between it and the one before.
+const concurrencySteps = 64
+
 // UsefulConcurrency returns the number of requests that an endpoint should run concurrently:
 // more would hardly raise its throughput and would delay every response.
 func (c *Contention) UsefulConcurrency(now time.Time, slots int) int {
+	step := (slots + concurrencySteps - 1) / concurrencySteps
 	best := 0.0
-	for n := 1; n <= slots; n++ {
-		best = math.Max(best, c.throughput(now, n, slots))
+	for n := step; n < slots+step; n += step {
+		best = math.Max(best, c.throughput(now, min(n, slots), slots))
 	}
-	useful := 1
+	useful := min(step, slots)
 	for useful < slots && c.throughput(now, useful, slots) < usefulShare*best {
-		useful++
+		useful = min(useful+step, slots)
 	}
-	for bound := c.Factor(now, useful, slots) / usefulShare; useful < slots && c.Factor(now, useful+1, slots) <= bound; {
-		useful++
+	for bound := c.Factor(now, useful, slots) / usefulShare; useful < slots; {
+		next := min(useful+step, slots)
+		if c.Factor(now, next, slots) > bound {
+			break
+		}
+		useful = next
 	}
 	return useful
 }
--- a/core/picker/crowding_test.go
+++ b/core/picker/crowding_test.go
@@ -58,3 +58,40 @@
 	assert.Equal(t, c.UsefulConcurrency(now, 6), 4)
 	assert.Equal(t, c.UsefulConcurrency(now.Add(5*contentionDecayTime), 6), initial)
 }
+
+// TestManySlotsCostNoMoreThanFew guards against choices that take as long as an endpoint has slots, as each slot was weighed in each
+// choice among sampled endpoints. The result is that of few slots, to a step.
+func TestManySlotsCostNoMoreThanFew(t *testing.T) {
+	const fewSlots = 64
+	now := time.Unix(1000, 0)
+	learned := func(slots int) *Contention {
+		var c Contention
+		for range 50 {
+			for n := slots/2 + 1; n <= slots; n += slots / 32 {
+				c.RecordRatio(now, n, slots, slowerFrom(slots*5/6, 1.7)(n)/c.Factor(now, n, slots))
+			}
+		}
+		return &c
+	}
+	cost := func(c *Contention, slots int) int64 {
+		return testing.Benchmark(func(b *testing.B) {
+			for b.Loop() {
+				c.UsefulConcurrency(now, slots)
+			}
+		}).NsPerOp()
+	}
+	few := learned(fewSlots)
+	want, reference := few.UsefulConcurrency(now, fewSlots), cost(few, fewSlots)
+	for _, times := range []int{10, 1000, 1500} {
+		slots := times * fewSlots
+		c := learned(slots)
+		useful := c.UsefulConcurrency(now, slots)
+		assert.Check(t, useful >= (want-1)*times && useful <= (want+1)*times, "%d of %d", useful, slots)
+		took := cost(c, slots)
+		assert.Check(t, took < 8*reference, "%d slots: %d ns, %d ns with %d", slots, took, reference, fewSlots)
+	}
+	for slots := range 200 {
+		useful := few.UsefulConcurrency(now, slots+1)
+		assert.Check(t, useful >= 1 && useful <= slots+1, "%d of %d", useful, slots+1)
+	}
+}
