Bound what one load header does to a whole service

A response's load header says how many requests run or wait at an endpoint. Any number was taken. The average utilisation of the service took load/slots of a single response as it came: after one header "load=" of one endpoint it was 250000, and above 0.8, the bound of hedges, for the next 500 responses and more; calls were hedged only once they were suspect.

Change: a header that names more than announcements may (10,000,000) isn't read, and a response counts as at most ten times the slots in the average, so that no single one passes the bound from an average below 0.5.

--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -52,8 +52,10 @@
 	// failureFloor is the least such latency.
 	failureFactor = 20
 	failureFloor  = 20 * time.Millisecond
-	// utilisationSmoothing is the weight of a new sample in the average utilisation.
+	// utilisationSmoothing is the weight of a new sample in the average utilisation, and maxUtilisation the most that a sample
+	// counts as, so that one endpoint doesn't set the average of all.
 	utilisationSmoothing = 0.025
+	maxUtilisation       = 10
 )
 
 // Policy selects the algorithm that chooses an endpoint. Its implementations are Adaptive,
@@ -250,7 +252,7 @@
 		k.typical = latency
 	}
 	if load >= 0 && slots > 0 {
-		k.utilisation += utilisationSmoothing * (float64(load)/float64(slots) - k.utilisation)
+		k.utilisation += utilisationSmoothing * (min(float64(load)/float64(slots), maxUtilisation) - k.utilisation)
 	}
 }
 
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -133,3 +133,17 @@
 		})
 	}
 }
+
+// TestOneResponseDoesNotSetTheUtilisation guards against one load header, of one endpoint, that keeps a whole service from being
+// hedged: with the bound of hedges at 0.8, the next thousand responses didn't undo it.
+func TestOneResponseDoesNotSetTheUtilisation(t *testing.T) {
+	const usual, bound = 0.4, 0.8
+	for _, load := range []int{100, 1_000_000, 10_000_000} {
+		k := newPicker(Adaptive{})
+		for range 1000 {
+			k.RecordResponse(time.Millisecond, 4, 10)
+		}
+		k.RecordResponse(time.Millisecond, load, 1)
+		assert.Check(t, k.Utilisation() > usual && k.Utilisation() < bound, "%d: %.2f", load, k.Utilisation())
+	}
+}
--- a/core/registrar/check.go
+++ b/core/registrar/check.go
@@ -11,11 +11,13 @@
 const (
 	maxSlots       = 100_000
 	maxConnections = 1_000_000
-	maxLoad        = 10_000_000
 	// maxWarmUp is longer than any endpoint takes to warm up.
 	maxWarmUp = time.Hour
 )
 
+// MaxLoad is the highest number of requests that an endpoint may say run or wait at it.
+const MaxLoad = 10_000_000
+
 // Check returns all validation problems of an announcement.
 func (a Announcement) Check() []validator.Problem {
 	return a.check(1)
@@ -79,7 +81,7 @@
 	}
 	inRange(add, "slots", a.Slots, 1, maxSlots)
 	inRange(add, "connections", a.Connections, minConnections, maxConnections)
-	inRange(add, "load", a.Load, 0, maxLoad)
+	inRange(add, "load", a.Load, 0, MaxLoad)
 	if a.WarmUp < 0 || a.WarmUp > maxWarmUp {
 		add("warm-up", "must be from 0 to "+maxWarmUp.String())
 	}
--- a/entry/translator/native.go
+++ b/entry/translator/native.go
@@ -132,7 +132,7 @@
 		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
 		switch name {
 		case "load":
-			if n, err := strconv.Atoi(text); err == nil && n >= 0 {
+			if n, err := strconv.Atoi(text); err == nil && n >= 0 && n <= registrar.MaxLoad {
 				report.Load = n
 			}
 		case "state":
