Find routes by an index of their prefixes

Change: an index by prefix, one for each form of the prefixes where they differ. A path is looked up at the ends of its segments, up to the length of the longest prefix.

TestRoutesAreFoundAsByASearchOfAll compares it with the former search in 30,000 random cases with hosts, equal prefixes and odd ones.

--- a/core/router/path.go
+++ b/core/router/path.go
@@ -209,14 +209,3 @@
 	}
 	return strings.Join(segments, "/")
 }
-
-// hasPathPrefix reports whether the path starts with the segments of the prefix.
-func hasPathPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	if strings.HasSuffix(prefix, "/") || len(path) == len(prefix) {
-		return true
-	}
-	return path[len(prefix)] == '/'
-}
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -42,6 +42,8 @@
 type Router struct {
 	// routes are ordered from most to least specific.
 	routes []Match
+	// normal, literal and decoded index them by their prefixes in these forms.
+	normal, literal, decoded index
 	// plain tells whether each prefix has one reading only.
 	plain bool
 }
@@ -56,6 +58,11 @@
 		}
 	}
 	slices.SortStableFunc(router.routes, compareSpecificity)
+	router.normal = newIndex(router.routes, formNormal)
+	router.literal, router.decoded = router.normal, router.normal
+	if !router.plain {
+		router.literal, router.decoded = newIndex(router.routes, formLiteral), newIndex(router.routes, formDecoded)
+	}
 	return router
 }
 
@@ -73,45 +80,29 @@
 func (r Router) Match(host, path string) (Match, bool) {
 	host = normalHost(host)
 	if r.plain && isPlain(path) {
-		return r.find(host, path)
+		return r.normal.find(r.routes, host, path)
 	}
-	found, ok := r.find(host, normalForm(path))
+	found, ok := r.normal.find(r.routes, host, normalForm(path))
 	if !ok {
 		return Match{}, false
 	}
 	for _, other := range otherReadings(path) {
-		if m, ok := r.longest(host, other); ok {
+		if m, ok := r.in(other.form).find(r.routes, host, other.path); ok {
 			found = found.withOther(m.Route.Execution)
 		}
 	}
 	return found, true
 }
 
-// find returns the most specific route for a path in its normal form.
-func (r Router) find(host, path string) (Match, bool) {
-	for i := range r.routes {
-		if m := &r.routes[i]; m.hasHost(host) && hasPathPrefix(path, m.prefix.normal) {
-			return *m, true
-		}
-	}
-	return Match{}, false
-}
-
-// longest returns the route with the longest prefix in another reading, whose lengths may order the routes differently.
-func (r Router) longest(host string, path reading) (Match, bool) {
-	var longest *Match
-	length := -1
-	for i := range r.routes {
-		m := &r.routes[i]
-		p := m.prefix.in(path.form)
-		if len(p) > length && m.hasHost(host) && hasPathPrefix(path.path, p) {
-			longest, length = m, len(p)
-		}
-	}
-	if longest == nil {
-		return Match{}, false
+// in returns the index of the prefixes in a form.
+func (r Router) in(f form) index {
+	switch f {
+	case formLiteral:
+		return r.literal
+	case formDecoded:
+		return r.decoded
 	}
-	return *longest, true
+	return r.normal
 }
 
 func (m *Match) hasHost(host string) bool { return m.Route.Host == "" || m.Route.Host == host }
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -1,6 +1,10 @@
 package router
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -95,3 +99,63 @@
 	}
 	assert.Equal(t, Match{Service: "a"}.PickService(0.5), "a")
 }
+
+// TestRoutesAreFoundAsByASearchOfAll compares the index of prefixes with a search of all routes from the most to the least specific.
+func TestRoutesAreFoundAsByASearchOfAll(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	parts := []string{"/", "a", "b", "/a", "/b/", "//", "%2F", "a/"}
+	hosts := []string{"", "h", "longer.example"}
+	draw := func() string {
+		path := "/"
+		for range random.IntN(5) {
+			path += parts[random.IntN(len(parts))]
+		}
+		return path
+	}
+	for range 300 {
+		var doc validator.Document
+		for i := range 1 + random.IntN(20) {
+			service := route(hosts[random.IntN(len(hosts))], draw())
+			service.Name = fmt.Sprint(i)
+			doc.Services = append(doc.Services, service)
+		}
+		r := New(doc)
+		for range 100 {
+			host, path := hosts[random.IntN(len(hosts))], normalForm(draw())
+			want := slices.IndexFunc(r.routes, func(m Match) bool {
+				p := m.prefix.normal
+				return m.hasHost(host) && strings.HasPrefix(path, p) && (path == p || strings.HasSuffix(p, "/") || path[len(p)] == '/')
+			})
+			found, ok := r.normal.find(r.routes, host, path)
+			assert.Equal(t, ok, want >= 0)
+			if ok {
+				assert.Equal(t, found.Service, r.routes[want].Service, "%q %q", host, path)
+			}
+		}
+	}
+}
+
+// BenchmarkMatch measures the search among numbers of routes, for a path that only the shortest prefix begins.
+func BenchmarkMatch(b *testing.B) {
+	for _, routes := range []int{1, 20, 400, 3000} {
+		for _, path := range []string{"/more/part/one/7", "/more/part%2Fone/7"} {
+			benchmarkMatch(b, routes, path)
+		}
+	}
+}
+
+func benchmarkMatch(b *testing.B, routes int, path string) {
+	b.Run(fmt.Sprint("routes_", routes, " ", path), func(b *testing.B) {
+		doc := validator.Document{Services: []validator.Service{route("", "/")}}
+		for i := range routes - 1 {
+			doc.Services = append(doc.Services, route("h.example", fmt.Sprintf("/more%06d/part/", i)))
+		}
+		r := New(doc)
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, ok := r.Match("h.example", path); !ok {
+				b.Fatal("no route")
+			}
+		}
+	})
+}
