--- a/entry/dispatcher/heads_test.go
+++ b/entry/dispatcher/heads_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,9 +41,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			address := startStalling(t, tt.first)
+			var requests atomic.Int64
+			address := startStalling(t, tt.first, &requests)
 			f := newFixture(t)
-			f.configureRoute(address)
+			f.configureKinds(address)
 			runtime.GC()
 			before := heapInUse()
 			var group sync.WaitGroup
@@ -55,6 +57,8 @@
 			}
 			group.Wait()
 			assert.Assert(t, most <= before+calls*bytesOfCall, "the heap grew by %d bytes", most-before)
+			assert.Assert(t, requests.Load() >= calls*9/10, "only %d calls reached the endpoint", requests.Load())
+			t.Logf("%d KiB a call", (most-before)/calls>>10)
 		})
 	}
 }
@@ -65,8 +69,9 @@
 	return m.HeapInuse
 }
 
-// startStalling starts an endpoint that sends the same bytes to each request, and then nothing until the caller leaves.
-func startStalling(t *testing.T, first string) (address string) {
+// startStalling starts an endpoint that sends the same bytes to each request, and then nothing until the caller leaves. It counts
+// the requests.
+func startStalling(t *testing.T, first string, requests *atomic.Int64) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	var group sync.WaitGroup
@@ -84,6 +89,7 @@
 				if _, err := reader.ReadString('\n'); err != nil {
 					return
 				}
+				requests.Add(1)
 				if _, err := conn.Write([]byte(first)); err != nil {
 					return
 				}
