Bound the documents that operators are sending to a replica

Change: a request with a document takes one of 16 places before it is read, as on the platform, or is refused with 503 "nothing was changed". It may take 10 s to come. Checks take turns.

--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -23,8 +23,12 @@
 // replyMargin is how much longer an operator's request waits than the state machine does.
 const replyMargin = 2 * time.Second
 
-// maxDocuments is how many documents may wait for the replica at once.
-const maxDocuments = 16
+const (
+	// maxDocuments is how many documents may be read, checked, or wait for the replica at once.
+	maxDocuments = 16
+	// readWithin is how long the sender of a document may take.
+	readWithin = 10 * time.Second
+)
 
 // Operator serves the operators' HTTP interface of one replica.
 type Operator struct {
@@ -47,8 +51,8 @@
 	r.Get("/comfreyplank/v1/status", o.status)
 	r.Get("/comfreyplank/v1/timeline", reporter.TimelineHandler(o.publisher))
 	r.Get("/comfreyplank/v1/document", o.document)
-	r.Post("/comfreyplank/v1/validate", o.validate)
-	r.Post("/comfreyplank/v1/document", o.apply)
+	r.Post("/comfreyplank/v1/validate", o.admitted(o.validate))
+	r.Post("/comfreyplank/v1/document", o.admitted(o.apply))
 	r.Put("/comfreyplank/v1/evacuations/{data-centre}", o.evacuate(true))
 	r.Delete("/comfreyplank/v1/evacuations/{data-centre}", o.evacuate(false))
 	r.Handle("/metrics", promhttp.Handler())
@@ -106,20 +110,44 @@
 	Problems []validator.Problem `json:"problems,omitempty"`
 }
 
+// readDocument reads the body of an admitted request. A sender that stalls doesn't keep the place of others.
 func readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readWithin)) // a test's writer takes none
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, validator.MaxDocumentBytes+1))
 	if err != nil {
-		reporter.Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the document is too large"}.Write(w, reporter.OutcomeNotRun)
+		reporter.Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the document is too large or did not come in time"}.Write(w, reporter.OutcomeNotRun)
 		return nil, false
 	}
 	return data, true
 }
 
+// admitted passes on requests with documents as far as there is room for them: each takes many times its size. The others are
+// refused before they are read.
+func (o *Operator) admitted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		leave, err := o.documents.Admit()
+		if err != nil {
+			reporter.JSON(w, http.StatusServiceUnavailable, tooMany)
+			return
+		}
+		defer leave()
+		next(w, r)
+	}
+}
+
+// tooMany is the result of a change that came while too many were on their way.
+var tooMany = Result{Status: "not-taken", Detail: "too many changes wait; nothing was changed"}
+
 func (o *Operator) validate(w http.ResponseWriter, r *http.Request) {
 	data, ok := readDocument(w, r)
 	if !ok {
 		return
 	}
+	end, err := o.documents.Take(r.Context())
+	if err != nil {
+		return // the caller has left
+	}
+	defer end()
 	if _, problems := validator.Parse(data); len(problems) > 0 {
 		reporter.JSON(w, http.StatusUnprocessableEntity, Result{Status: "refused", Detail: "the document is not valid", Problems: problems})
 		return
@@ -144,19 +172,24 @@
 	if !ok {
 		return
 	}
-	status, result := o.Apply(r.Context(), data)
+	status, result := o.propose(r.Context(), data)
 	reporter.JSON(w, status, result)
 }
 
-// Apply proposes a change and waits for its outcome. It returns the HTTP status and the result.
+// Apply proposes a change that was read elsewhere, if there is room for it, and waits for its outcome. It returns the HTTP status
+// and the result.
 func (o *Operator) Apply(ctx context.Context, data []byte) (int, Result) {
-	ctx, cancel := context.WithTimeout(ctx, controller.ApplyTimeout+replyMargin)
-	defer cancel()
 	leave, err := o.documents.Admit()
 	if err != nil {
-		return describe(controller.ApplyReply{Status: controller.ApplyNotProposed})
+		return http.StatusServiceUnavailable, tooMany
 	}
 	defer leave()
+	return o.propose(ctx, data)
+}
+
+func (o *Operator) propose(ctx context.Context, data []byte) (int, Result) {
+	ctx, cancel := context.WithTimeout(ctx, controller.ApplyTimeout+replyMargin)
+	defer cancel()
 	reply, err := o.driver.Apply(ctx, controller.Apply{Document: data})
 	if err != nil {
 		reply.Status = controller.ApplyUnknown
