--- a/soaker/checker/statement.go
+++ b/soaker/checker/statement.go
@@ -1,6 +1,10 @@
 package checker
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // An endpoint that has asked an entry for a pause may get maxInPause requests from it after pauseLearnTime.
 const (
@@ -20,7 +24,9 @@
 // askedPause is a pause that an endpoint has asked a process of an entry for.
 type askedPause struct {
 	endpoint, entry string
-	from, until     time.Time
+	// request is the one that was refused.
+	request     string
+	from, until time.Time
 }
 
 // LeavingSaid records that an endpoint says from now on that it leaves, or, as a new incarnation, no longer. What the
@@ -50,7 +56,7 @@
 	defer c.mu.Unlock()
 	c.seen.arrivals = append(c.seen.arrivals, arrival{endpoint, requestID, now})
 	if entry := c.seen.sent[requestID].entry; pause > 0 && entry != "" {
-		c.pauses = append(c.pauses, askedPause{endpoint, entry, now, now.Add(pause)})
+		c.pauses = append(c.pauses, askedPause{endpoint, entry, requestID, now, now.Add(pause)})
 	}
 }
 
@@ -85,8 +91,20 @@
 			}
 		}
 		if got > maxInPause {
-			c.addViolation("%s got %d requests from %s in a pause of %s that it had asked for, allowed %d",
-				p.endpoint, got, p.entry, p.until.Sub(p.from), maxInPause)
+			c.addViolation("%s got %d requests from %s in a pause of %s that it had asked for, allowed %d; it refused %s%s",
+				p.endpoint, got, p.entry, p.until.Sub(p.from), maxInPause, p.request, c.seen.otherAttempts(p))
+		}
+	}
+}
+
+// otherAttempts describes the other attempts of the request with which an endpoint asked for a pause. After an attempt before it, or
+// at about the same time, the entry may have had its answer already and have dropped the refusal unread.
+func (o *observations) otherAttempts(p askedPause) string {
+	var b strings.Builder
+	for _, a := range o.arrivals {
+		if a.request == p.request && a.endpoint != p.endpoint {
+			fmt.Fprintf(&b, ", which reached %s %s after that", a.endpoint, a.at.Sub(p.from).Round(time.Millisecond))
 		}
 	}
+	return b.String()
 }
--- a/soaker/checker/statement_test.go
+++ b/soaker/checker/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +89,20 @@
 		})
 	}
 }
+
+// TestViolationOfAPauseNamesTheOtherAttempts guards against a report that doesn't tell whether the entry may have dropped the refusal
+// unread, as another attempt of the request was answered.
+func TestViolationOfAPauseNamesTheOtherAttempts(t *testing.T) {
+	c := New()
+	c.Sent(epoch, "first", "e1/1")
+	c.Arrived(epoch.Add(-20*time.Millisecond), "other", "first", 0)
+	c.Arrived(epoch, "e", "first", 3*time.Second)
+	for n := range 3 {
+		at := epoch.Add(time.Second + time.Duration(n))
+		c.Sent(at, fmt.Sprint(n), "e1/1")
+		c.Arrived(at, "e", fmt.Sprint(n), 0)
+	}
+	violations := c.Finish()
+	assert.Equal(t, len(violations), 1)
+	assert.Assert(t, strings.HasSuffix(violations[0], "allowed 2; it refused first, which reached other -20ms after that"), violations[0])
+}
