--- a/soaker/runner/soak_test.go
+++ b/soaker/runner/soak_test.go
@@ -63,16 +63,23 @@
 	}
 }
 
-// TestSoakReportsExtraExecution checks that a soak detects violations: the record of its
-// stand-in gets one execution that did not happen.
-func TestSoakReportsExtraExecution(t *testing.T) {
+// startSmall returns a running soak with one process or endpoint of each class, and no steps.
+func startSmall(t *testing.T) (*Soak, context.Context) {
+	t.Helper()
 	s := &Soak{check: checker.New(), settings: Settings{Bin: bin, Work: t.TempDir(), Size: planner.Size{Controls: 1, Entries: 1, Endpoints: 1}}}
 	assert.NilError(t, s.setUp())
 	t.Cleanup(s.cleanUp)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(s.group.Wait)
 	t.Cleanup(cancel)
 	assert.NilError(t, s.begin(ctx))
+	return s, ctx
+}
+
+// TestSoakReportsExtraExecution checks that a soak detects violations: the record of its
+// stand-in gets one execution that did not happen.
+func TestSoakReportsExtraExecution(t *testing.T) {
+	s, _ := startSmall(t)
 	c := newCaller("caller", s.entries, s.check, newRand(1, 1))
 	c.call(callKinds[1])
 	assert.Equal(t, len(s.check.Finish()), 0)
@@ -84,13 +91,7 @@
 // TestResetOfAnEndlessResponseIsNoFaultOfAStop resets the connection of a response that never ends, whose beginning the entry has
 // passed on, while the entry stops. CI reported that as a request that the stop cut off, as the plan of seed 403 may bring it about.
 func TestResetOfAnEndlessResponseIsNoFaultOfAStop(t *testing.T) {
-	s := &Soak{check: checker.New(), settings: Settings{Bin: bin, Work: t.TempDir(), Size: planner.Size{Controls: 1, Entries: 1, Endpoints: 1}}}
-	assert.NilError(t, s.setUp())
-	t.Cleanup(s.cleanUp)
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(s.group.Wait)
-	t.Cleanup(cancel)
-	assert.NilError(t, s.begin(ctx))
+	s, ctx := startSmall(t)
 	e, entry := s.endpoints[0], s.entries[0]
 	endless := responder.Default()
 	endless.Endless = true
