--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -62,10 +62,22 @@
 		b.markAddressReused(now, e)
 	case EndingCancelled:
 		e.trial = false
+		b.recordNoResponse(now, a)
 		b.updateCandidate(now, e.index, e)
 	}
 }
 
+// recordNoResponse counts the time for which an attempt had no response until another one of its call had, if that is longer than
+// usual. Without that an endpoint that answers nothing would get calls as long as their hedges are answered.
+func (b *Balancer) recordNoResponse(now time.Time, a *attempt) {
+	elapsed := now.Sub(a.sentAt)
+	if a.call != nil || a.responded || elapsed <= b.picker.TypicalLatency() {
+		return
+	}
+	b.candidates[a.endpoint.index].RecordNoResponse(now, elapsed)
+	b.noteLatency(now)
+}
+
 func proofOf(ending Ending) retrier.Proof {
 	if ending == EndingNotSent || ending == EndingRefused || ending == EndingMisdirected {
 		return retrier.ProofNotRun
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -147,6 +147,14 @@
 	c.Latency += time.Duration(latencySmoothing * float64(latency-c.Latency))
 }
 
+// RecordNoResponse adds to the average that a response has not come in a time, and is not waited for any more: its latency would be
+// longer than that. A time below the average says nothing.
+func (c *Candidate) RecordNoResponse(now time.Time, elapsed time.Duration) {
+	if elapsed > c.Latency {
+		c.RecordLatency(now, elapsed)
+	}
+}
+
 // slowness returns how far the endpoint's latency exceeds the typical one, in typical
 // latencies. It decays over time, so that a slow endpoint gets another chance.
 func (c *Candidate) slowness(now time.Time, typical time.Duration) float64 {
