--- a/core/validator/schema.go
+++ b/core/validator/schema.go
@@ -121,7 +121,7 @@
 	return []Field{
 		{Name: "name", Kind: KindString, Default: "none", Max: MaxNameLength, Doc: "Name of the route in logs."},
 		{Name: "host", Kind: KindString, Default: "every host", Max: MaxNameLength, Doc: "Host of the request without its port."},
-		{Name: "path-prefix", Kind: KindString, Required: true, Min: 1, Max: maxPathLength, Doc: "Prefix of the request path. It starts with a slash and matches whole path segments. Percent-encodings in it and in the path are decoded first; dots and empty segments are segments like others."},
+		{Name: "path-prefix", Kind: KindString, Required: true, Min: 1, Max: maxPathLength, Doc: "Prefix of the request path. It starts with a slash and matches whole path segments. Both are compared in their normal form: an encoded letter, digit, `-`, `.`, `_` or `~` is the character, an encoded slash is none; dots and empty segments are segments like others. A request whose path could be read as one of another route runs as strictly as the stricter of the two allows."},
 		{Name: "execution", Kind: KindString, Default: "by the request's method", Choices: []string{"repeatable", "once-only", "at-most-once"}, Doc: "How often a request may run. `once-only` requires an `Idempotency-Key` header. With `at-most-once`, a request that the caller repeats counts as a new request. By default, requests with a method that is not idempotent are attempted once."},
 		{Name: "deadline-ms", Kind: KindInteger, Required: true, Min: 1, Max: MaxDeadlineMs, Doc: "Maximum duration of the whole call, in ms."},
 		{Name: "class", Kind: KindString, Required: true, Choices: []string{"interactive", "bulk"}, Doc: "Queue that calls wait in."},
