Keep a route's prefix in one form, and its indexes by form

Read again: each route held its prefix in three forms, of which two were needed only while the indexes were built, and two switches chose by form (one for prefixes, one for indexes). The form now returns a path in it, an index is built with that, and the indexes are an array by form. Hexadecimal digits are read by strconv. No change of behaviour; the tests and the fuzz test's seeds pass unchanged but for the names of fields.

--- a/core/router/index.go
+++ b/core/router/index.go
@@ -12,7 +12,7 @@
 func newIndex(routes []Match, f form) index {
 	x := index{positions: make(map[string][]int, len(routes))}
 	for i, m := range routes {
-		p := m.prefix.in(f)
+		p := f.of(m.Route.PathPrefix)
 		x.positions[p] = append(x.positions[p], i)
 		x.longest = max(x.longest, len(p))
 	}
--- a/core/router/path.go
+++ b/core/router/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"strconv"
 	"strings"
 )
 
@@ -20,28 +21,23 @@
 
 const (
 	// formNormal is the normal form.
-	formNormal form = iota + 1
+	formNormal form = iota
 	// formLiteral is as the caller and the document wrote them.
 	formLiteral
 	// formDecoded has all percent-encodings decoded once.
 	formDecoded
+	formCount
 )
 
-// prefix is a route's path prefix in each form.
-type prefix struct{ normal, literal, decoded string }
-
-func newPrefix(path string) prefix {
-	return prefix{normal: normalForm(path), literal: path, decoded: decoded(path)}
-}
-
-func (p prefix) in(f form) string {
+// of returns a path in the form.
+func (f form) of(path string) string {
 	switch f {
 	case formLiteral:
-		return p.literal
+		return path
 	case formDecoded:
-		return p.decoded
+		return decoded(path)
 	}
-	return p.normal
+	return normalForm(path)
 }
 
 // reading is what an endpoint may take a path for, and the form of the prefixes that it is compared with.
@@ -135,24 +131,12 @@
 	if len(s) < encodedBytes || s[0] != '%' {
 		return 0, false
 	}
-	high, low := hexValue(s[1]), hexValue(s[2])
-	return byte(high<<4 | low), high >= 0 && low >= 0
-}
-
-// hexValue returns the value of a hexadecimal digit, negative for another byte.
-func hexValue(c byte) int {
-	return strings.IndexByte(hexDigits, upper(c))
+	value, err := strconv.ParseUint(s[1:encodedBytes], 16, 8)
+	return byte(value), err == nil
 }
 
 const hexDigits = "0123456789ABCDEF"
 
-func upper(c byte) byte {
-	if 'a' <= c && c <= 'z' {
-		return c - 'a' + 'A'
-	}
-	return c
-}
-
 func writeEncoded(b *strings.Builder, c byte) {
 	b.WriteByte('%')
 	b.WriteByte(hexDigits[c>>4])
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -12,7 +12,8 @@
 
 // Match is the result of matching a request to a route.
 type Match struct {
-	prefix prefix
+	// prefix is the route's path prefix in its normal form.
+	prefix string
 	// Service is the service that defines the route. PickService returns the one that
 	// handles a request.
 	Service string
@@ -42,8 +43,8 @@
 type Router struct {
 	// routes are ordered from most to least specific.
 	routes []Match
-	// normal, literal and decoded index them by their prefixes in these forms.
-	normal, literal, decoded index
+	// indexes hold them by their prefixes in each form.
+	indexes [formCount]index
 	// plain tells whether each prefix has one reading only.
 	plain bool
 }
@@ -53,15 +54,17 @@
 	router := Router{plain: true}
 	for _, s := range doc.Services {
 		for _, r := range s.Routes {
-			router.routes = append(router.routes, Match{prefix: newPrefix(r.PathPrefix), Service: s.Name, Route: r})
+			router.routes = append(router.routes, Match{prefix: normalForm(r.PathPrefix), Service: s.Name, Route: r})
 			router.plain = router.plain && isPlain(r.PathPrefix)
 		}
 	}
 	slices.SortStableFunc(router.routes, compareSpecificity)
-	router.normal = newIndex(router.routes, formNormal)
-	router.literal, router.decoded = router.normal, router.normal
-	if !router.plain {
-		router.literal, router.decoded = newIndex(router.routes, formLiteral), newIndex(router.routes, formDecoded)
+	for f := range formCount {
+		if router.plain && f > 0 {
+			router.indexes[f] = router.indexes[0] // all forms are the same
+			continue
+		}
+		router.indexes[f] = newIndex(router.routes, f)
 	}
 	return router
 }
@@ -69,7 +72,7 @@
 // compareSpecificity orders routes by the length of their path prefixes, then of their hosts,
 // longest first.
 func compareSpecificity(a, b Match) int {
-	if d := len(b.prefix.normal) - len(a.prefix.normal); d != 0 {
+	if d := len(b.prefix) - len(a.prefix); d != 0 {
 		return d
 	}
 	return len(b.Route.Host) - len(a.Route.Host)
@@ -80,31 +83,20 @@
 func (r Router) Match(host, path string) (Match, bool) {
 	host = normalHost(host)
 	if r.plain && isPlain(path) {
-		return r.normal.find(r.routes, host, path)
+		return r.indexes[formNormal].find(r.routes, host, path)
 	}
-	found, ok := r.normal.find(r.routes, host, normalForm(path))
+	found, ok := r.indexes[formNormal].find(r.routes, host, normalForm(path))
 	if !ok {
 		return Match{}, false
 	}
 	for _, other := range otherReadings(path) {
-		if m, ok := r.in(other.form).find(r.routes, host, other.path); ok {
+		if m, ok := r.indexes[other.form].find(r.routes, host, other.path); ok {
 			found = found.withOther(m.Route.Execution)
 		}
 	}
 	return found, true
 }
 
-// in returns the index of the prefixes in a form.
-func (r Router) in(f form) index {
-	switch f {
-	case formLiteral:
-		return r.literal
-	case formDecoded:
-		return r.decoded
-	}
-	return r.normal
-}
-
 func (m *Match) hasHost(host string) bool { return m.Route.Host == "" || m.Route.Host == host }
 
 func (m Match) withOther(execution validator.Execution) Match {
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -123,10 +123,10 @@
 		for range 100 {
 			host, path := hosts[random.IntN(len(hosts))], normalForm(draw())
 			want := slices.IndexFunc(r.routes, func(m Match) bool {
-				p := m.prefix.normal
+				p := m.prefix
 				return m.hasHost(host) && strings.HasPrefix(path, p) && (path == p || strings.HasSuffix(p, "/") || path[len(p)] == '/')
 			})
-			found, ok := r.normal.find(r.routes, host, path)
+			found, ok := r.indexes[formNormal].find(r.routes, host, path)
 			assert.Equal(t, ok, want >= 0)
 			if ok {
 				assert.Equal(t, found.Service, r.routes[want].Service, "%q %q", host, path)
