Decide in one place whether a missing response counts

The balancer compared the time without a response with the typical latency, and the candidate with its average. The picker knows both, as it does for failures (RecordFailure), and decides now. The balancer only says which attempts have lost. The same attempts count as before; the median is no longer computed anew when nothing was added. Tests of both packages pass unchanged.

--- a/core/balancer/ending.go
+++ b/core/balancer/ending.go
@@ -67,15 +67,15 @@
 	}
 }
 
-// recordNoResponse counts the time for which an attempt had no response until another one of its call had, if that is longer than
-// usual. Without that an endpoint that answers nothing would get calls as long as their hedges are answered.
+// recordNoResponse counts the time for which an attempt had no response until another one of its call had. Without that an endpoint
+// that answers nothing would get calls as long as their hedges are answered.
 func (b *Balancer) recordNoResponse(now time.Time, a *attempt) {
-	elapsed := now.Sub(a.sentAt)
-	if a.call != nil || a.responded || elapsed <= b.picker.TypicalLatency() {
+	if a.call != nil || a.responded {
 		return
 	}
-	b.candidates[a.endpoint.index].RecordNoResponse(now, elapsed)
-	b.noteLatency(now)
+	if b.picker.RecordNoResponse(now, &b.candidates[a.endpoint.index], now.Sub(a.sentAt)) {
+		b.noteLatency(now)
+	}
 }
 
 func proofOf(ending Ending) retrier.Proof {
--- a/core/picker/crowding.go
+++ b/core/picker/crowding.go
@@ -104,7 +104,7 @@
 	for n := step; n < slots+step; n += step {
 		best = math.Max(best, c.throughput(now, min(n, slots), slots))
 	}
-	useful := min(step, slots)
+	useful := step
 	for useful < slots && c.throughput(now, useful, slots) < usefulShare*best {
 		useful = min(useful+step, slots)
 	}
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -147,14 +147,6 @@
 	c.Latency += time.Duration(latencySmoothing * float64(latency-c.Latency))
 }
 
-// RecordNoResponse adds to the average that a response has not come in a time, and is not waited for any more: its latency would be
-// longer than that. A time below the average says nothing.
-func (c *Candidate) RecordNoResponse(now time.Time, elapsed time.Duration) {
-	if elapsed > c.Latency {
-		c.RecordLatency(now, elapsed)
-	}
-}
-
 // slowness returns how far the endpoint's latency exceeds the typical one, in typical
 // latencies. It decays over time, so that a slow endpoint gets another chance.
 func (c *Candidate) slowness(now time.Time, typical time.Duration) float64 {
@@ -234,6 +226,16 @@
 	c.RecordLatency(now, max(failureFactor*k.typical, failureFloor))
 }
 
+// RecordNoResponse counts that a response of the candidate has not come in a time and is not waited for any more: its latency would be
+// longer than that. It reports false for a time that says nothing, as it isn't above the average and the typical latency.
+func (k *Picker) RecordNoResponse(now time.Time, c *Candidate, elapsed time.Duration) bool {
+	if elapsed <= max(c.Latency, k.typical) {
+		return false
+	}
+	c.RecordLatency(now, elapsed)
+	return true
+}
+
 // UpdateTypicalLatency sets the typical latency to the median of the endpoints' average
 // latencies, so that one endpoint with much traffic can't shift it.
 func (k *Picker) UpdateTypicalLatency(list []Candidate) {
