Count the bytes of entries, and read the header of a frame, in one place

FirstBytes and totalSize serve all of them. A search for a frame read the header of each candidate, then its length and its checksum once more; readHeader returns the header now.

--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -300,7 +300,8 @@
 			if first {
 				f.Base, f.State = &base, &state
 			}
-			f.Entries, entries = splitEntries(entries)
+			f.Entries = replicator.FirstBytes(entries, maxFrameEntryBytes)
+			entries = entries[len(f.Entries):]
 			payload, err := encoder.EncodeFrame(f)
 			if err != nil {
 				return err
@@ -322,17 +323,5 @@
 	return j.openFile()
 }
 
-// splitEntries returns the entries of the next frame, and those after it.
-func splitEntries(entries []replicator.Entry) (next, rest []replicator.Entry) {
-	bytes := 0
-	for i, e := range entries {
-		bytes += e.Size()
-		if bytes > maxFrameEntryBytes && i > 0 {
-			return entries[:i], entries[i:]
-		}
-	}
-	return entries, nil
-}
-
 // Close closes the journal.
 func (j *Journal) Close() error { return errors.Wrap(j.file.Close(), "close journal") }
--- a/control/journaler/scanner.go
+++ b/control/journaler/scanner.go
@@ -32,11 +32,11 @@
 
 // next returns the payload of the next frame, or nil if no valid frame follows.
 func (s *scanner) next() ([]byte, error) {
-	length, ok, err := s.readHeader(s.offset)
-	if err != nil || !ok {
+	header, err := s.readHeader(s.offset)
+	if err != nil || header == nil {
 		return nil, err
 	}
-	data := make([]byte, headerBytes+length)
+	data := make([]byte, headerBytes+payloadLength(header))
 	if err := s.read(data, s.offset); err != nil {
 		return nil, err
 	}
@@ -49,19 +49,23 @@
 	return payload, nil
 }
 
-// readHeader returns the length of the payload of a frame at offset. ok is false if no whole frame can be there.
-func (s *scanner) readHeader(offset int64) (length int64, ok bool, err error) {
-	var header [headerBytes]byte
+// readHeader returns the header of a frame at offset, or nil if no whole frame can be there.
+func (s *scanner) readHeader(offset int64) ([]byte, error) {
 	if s.size-offset < headerBytes {
-		return 0, false, nil
+		return nil, nil
 	}
-	if err := s.read(header[:], offset); err != nil {
-		return 0, false, err
+	header := make([]byte, headerBytes)
+	if err := s.read(header, offset); err != nil {
+		return nil, err
 	}
-	length = int64(binary.LittleEndian.Uint32(header[4:8]))
-	return length, bytes.Equal(header[:4], magic) && length <= s.size-offset-headerBytes, nil
+	if !bytes.Equal(header[:4], magic) || payloadLength(header) > s.size-offset-headerBytes {
+		return nil, nil
+	}
+	return header, nil
 }
 
+func payloadLength(header []byte) int64 { return int64(binary.LittleEndian.Uint32(header[4:8])) }
+
 func (s *scanner) read(data []byte, offset int64) error {
 	n, err := s.file.ReadAt(data, offset)
 	if n == len(data) {
@@ -122,20 +126,14 @@
 
 // isFrame reports whether a valid frame starts at offset.
 func (s *scanner) isFrame(offset int64) (bool, error) {
-	length, ok, err := s.readHeader(offset)
-	if err != nil || !ok {
+	header, err := s.readHeader(offset)
+	if err != nil || header == nil {
 		return false, err
 	}
 	hash := newChecksum()
-	if _, err := io.Copy(hash, io.NewSectionReader(s.file, offset+4, 4)); err != nil {
+	_, _ = hash.Write(header[4:8]) // a hash takes everything
+	if _, err := io.Copy(hash, io.NewSectionReader(s.file, offset+headerBytes, payloadLength(header))); err != nil {
 		return false, errors.Wrap(err, "read journal")
 	}
-	if _, err := io.Copy(hash, io.NewSectionReader(s.file, offset+headerBytes, length)); err != nil {
-		return false, errors.Wrap(err, "read journal")
-	}
-	var stored [4]byte
-	if err := s.read(stored[:], offset+8); err != nil {
-		return false, err
-	}
-	return hash.Sum32() == binary.LittleEndian.Uint32(stored[:]), nil
+	return hash.Sum32() == binary.LittleEndian.Uint32(header[8:]), nil
 }
--- a/core/replicator/entry.go
+++ b/core/replicator/entry.go
@@ -33,6 +33,27 @@
 // Size returns the size of the unpacked data in bytes.
 func (e Entry) Size() int { return max(len(e.Data), e.PackedFrom) }
 
+// totalSize returns the size of the unpacked data of entries in bytes.
+func totalSize(entries []Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += e.Size()
+	}
+	return n
+}
+
+// FirstBytes returns the first entries whose unpacked data takes no more than maxBytes together, but at least one if there is any.
+func FirstBytes(entries []Entry, maxBytes int) []Entry {
+	n := 0
+	for i, e := range entries {
+		n += e.Size()
+		if n > maxBytes && i > 0 {
+			return entries[:i:i]
+		}
+	}
+	return slices.Clip(entries)
+}
+
 // packThreshold is the size from which an entry is worth packing, in bytes.
 const packThreshold = 64 << 10
 
@@ -136,17 +157,8 @@
 
 // unpacked returns the entries from position from to position to, without it, until they exceed maxBytes; but at least one.
 func (l *EntryList) unpacked(from, to, maxBytes int) []Entry {
-	bytes, isPacked := 0, false
-	for i := from; i < to; i++ {
-		bytes += l.entries[i].Size()
-		if bytes > maxBytes && i > from {
-			to = i
-			break
-		}
-		isPacked = isPacked || l.entries[i].PackedFrom != 0
-	}
-	part := l.entries[from:to:to]
-	if !isPacked {
+	part := FirstBytes(l.entries[from:to], maxBytes)
+	if !slices.ContainsFunc(part, func(e Entry) bool { return e.PackedFrom != 0 }) {
 		return part
 	}
 	part = slices.Clone(part)
--- a/core/replicator/log.go
+++ b/core/replicator/log.go
@@ -53,11 +53,7 @@
 
 // bytesAfter returns the size of the entries after index.
 func (l *log) bytesAfter(index uint64) int {
-	n := 0
-	for _, e := range l.list.entries[max(index, l.baseIndex)-l.baseIndex:] {
-		n += e.Size()
-	}
-	return n
+	return totalSize(l.list.entries[max(index, l.baseIndex)-l.baseIndex:])
 }
 
 func (l *log) append(entries ...Entry) { l.list.Append(entries...) }
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -127,7 +127,7 @@
 
 func (r *Replica) onAppend(now time.Time, e Envelope, m Append) {
 	r.followLeader(now, e.From)
-	if r.unstoredBytes() > maxOutputBytes {
+	if totalSize(r.out.Entries) > maxOutputBytes {
 		m.Entries = nil // the disk doesn't keep up; the leader sends them again
 	}
 	reply := r.reply(now, m.LeaderTime)
@@ -166,15 +166,6 @@
 	return reply
 }
 
-// unstoredBytes returns the size of the entries that wait for the next Output.
-func (r *Replica) unstoredBytes() int {
-	n := 0
-	for _, e := range r.out.Entries {
-		n += len(e.Data)
-	}
-	return n
-}
-
 func entriesAfter(entries []Entry, index uint64) []Entry {
 	for i, e := range entries {
 		if e.Index > index {
