Take documents of operators, and set the garbage collector, in one place

The system's own interface and that of the platform each had the limit of 16 documents, the time to read one, the reading and the refusal before it. sequencer.Handler, ReadDocument and Documents serve both; each keeps its own response and its limit in bytes. The programs control and platform each took 0.7 of their memory for the collector, unless GOMEMLIMIT is set, and entry and platform set GOGC alike: configurer.LimitMemory, MemoryShare and SetCollector do. No change of behaviour; the tests of the packages pass, with the name of one constant changed.

--- a/control/main.go
+++ b/control/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -21,13 +20,9 @@
 
 func main() { os.Exit(run()) }
 
-// memoryLimit is the default of GOMEMLIMIT, close to which the garbage collector runs more often, and memoryShare the part of the
-// memory of a replica with less than that which it is instead. It keeps the garbage of bursts and snapshots within what a replica may
-// use.
-const (
-	memoryLimit = 100 << 20
-	memoryShare = 0.7
-)
+// memoryLimit is the default of GOMEMLIMIT, close to which the garbage collector runs more often, for a replica with much memory. It
+// keeps the garbage of bursts and snapshots within what a replica may use.
+const memoryLimit = 100 << 20
 
 // maxProcs limits GOMAXPROCS, unless the environment sets it. A replica sleeps most of the time,
 // and waking more threads costs more than it gains.
@@ -42,9 +37,7 @@
 	if os.Getenv("GOMAXPROCS") == "" {
 		runtime.GOMAXPROCS(min(maxProcs, runtime.NumCPU()))
 	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(min(memoryLimit, int64(memoryShare*float64(settings.MemoryMB<<20))))
-	}
+	configurer.LimitMemory(min(memoryLimit, configurer.MemoryShare(settings.MemoryMB<<20)))
 	if settings.SetAside {
 		return setAside(settings.Data)
 	}
--- a/control/operator/documents_test.go
+++ b/control/operator/documents_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyplank.org/control/driver"
+	"comfreyplank.org/control/sequencer"
 	"comfreyplank.org/shell/publisher"
 )
 
@@ -55,7 +56,7 @@
 					n++
 				}
 			}
-			assert.Equal(t, n, senders-maxDocuments)
+			assert.Equal(t, n, senders-sequencer.Documents)
 			for range senders {
 				_ = (<-stalled).Close()
 			}
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -23,13 +22,6 @@
 // replyMargin is how much longer an operator's request waits than the state machine does.
 const replyMargin = 2 * time.Second
 
-const (
-	// maxDocuments is how many documents may be read, checked, or wait for the replica at once.
-	maxDocuments = 16
-	// readWithin is how long the sender of a document may take.
-	readWithin = 10 * time.Second
-)
-
 // Operator serves the operators' HTTP interface of one replica.
 type Operator struct {
 	driver    *driver.Driver
@@ -41,7 +33,7 @@
 // New returns the operators' HTTP interface of a replica. If key is not empty, every change must
 // carry it.
 func New(d *driver.Driver, p *publisher.Publisher, key string) *Operator {
-	return &Operator{driver: d, publisher: p, key: key, documents: sequencer.New(maxDocuments)}
+	return &Operator{driver: d, publisher: p, key: key, documents: sequencer.New(sequencer.Documents)}
 }
 
 // Register adds the routes of the interface to a router.
@@ -51,8 +43,8 @@
 	r.Get("/comfreyplank/v1/status", o.status)
 	r.Get("/comfreyplank/v1/timeline", reporter.TimelineHandler(o.publisher))
 	r.Get("/comfreyplank/v1/document", o.document)
-	r.Post("/comfreyplank/v1/validate", o.admitted(o.validate))
-	r.Post("/comfreyplank/v1/document", o.admitted(o.apply))
+	r.Post("/comfreyplank/v1/validate", o.documents.Handler(o.validate, refuseUnread))
+	r.Post("/comfreyplank/v1/document", o.documents.Handler(o.apply, refuseUnread))
 	r.Put("/comfreyplank/v1/evacuations/{data-centre}", o.evacuate(true))
 	r.Delete("/comfreyplank/v1/evacuations/{data-centre}", o.evacuate(false))
 	r.Handle("/metrics", promhttp.Handler())
@@ -110,10 +102,8 @@
 	Problems []validator.Problem `json:"problems,omitempty"`
 }
 
-// readDocument reads the body of an admitted request. A sender that stalls doesn't keep the place of others.
 func readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readWithin)) // a test's writer takes none
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, validator.MaxDocumentBytes+1))
+	data, err := sequencer.ReadDocument(w, r, validator.MaxDocumentBytes+1)
 	if err != nil {
 		reporter.Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the document is too large or did not come in time"}.Write(w, reporter.OutcomeNotRun)
 		return nil, false
@@ -121,23 +111,13 @@
 	return data, true
 }
 
-// admitted passes on requests with documents as far as there is room for them: each takes many times its size. The others are
-// refused before they are read.
-func (o *Operator) admitted(next http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		leave, err := o.documents.Admit()
-		if err != nil {
-			reporter.JSON(w, http.StatusServiceUnavailable, tooMany)
-			return
-		}
-		defer leave()
-		next(w, r)
-	}
-}
-
 // tooMany is the result of a change that came while too many were on their way.
 var tooMany = Result{Status: "not-taken", Detail: "too many changes wait; nothing was changed"}
 
+func refuseUnread(w http.ResponseWriter, _ *http.Request) {
+	reporter.JSON(w, http.StatusServiceUnavailable, tooMany)
+}
+
 func (o *Operator) validate(w http.ResponseWriter, r *http.Request) {
 	data, ok := readDocument(w, r)
 	if !ok {
--- a/entry/main.go
+++ b/entry/main.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"comfreyplank.org/entry/runner"
@@ -26,9 +25,7 @@
 		return configurer.Exit("entry", err)
 	}
 	settings.Logging.SetDefault(os.Stderr, "entry", settings.Name)
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
+	configurer.SetCollector(gcPercent)
 	signal.Ignore(syscall.SIGHUP) // all settings are flags, there is nothing to reload
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
