Keep the resets and the excuses of the soak in one kind of list

The check of stops had its own list of resets and its own search in it, the twin of that of excused faults. Both are faults of a target at a time, with one search (faults.hit). Same verdicts: the tests of the checker pass unchanged.

--- a/soaker/checker/checker.go
+++ b/soaker/checker/checker.go
@@ -51,7 +51,8 @@
 	started map[string]bool
 	// endless holds the responses that never end.
 	endless []endlessResponse
-	resets  []linkReset
+	// resets holds the resets of the open connections to endpoints.
+	resets faults
 	// departures holds the time of each acknowledged departure, by endpoint.
 	departures map[string]time.Time
 	// inEffect is the highest revision known to be in effect everywhere, accepted the
--- a/soaker/checker/endless.go
+++ b/soaker/checker/endless.go
@@ -7,12 +7,6 @@
 	endpoint, request string
 }
 
-// linkReset is a reset of the open connections to an endpoint.
-type linkReset struct {
-	endpoint string
-	at       time.Time
-}
-
 // RecordEndless records that an endpoint's response to a request never ends.
 func (c *Checker) RecordEndless(endpoint, requestID string) {
 	c.mu.Lock()
@@ -24,7 +18,7 @@
 func (c *Checker) LinkReset(now time.Time, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resets = append(c.resets, linkReset{endpoint, now})
+	c.resets = append(c.resets, fault{endpoint, now})
 }
 
 // MayAbort reports whether the response to a request that was sent at sentAt may be aborted now. Only an endless response may:
@@ -34,16 +28,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range c.endless {
-		if e.request == requestID && (now.Sub(sentAt) >= deadline || c.wasReset(e.endpoint, sentAt, now)) {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Checker) wasReset(endpoint string, from, until time.Time) bool {
-	for _, r := range c.resets {
-		if r.endpoint == endpoint && !r.at.Before(from) && !r.at.After(until) {
+		if e.request == requestID && (now.Sub(sentAt) >= deadline || c.resets.hit(e.endpoint, sentAt, now)) {
 			return true
 		}
 	}
--- a/soaker/checker/limit.go
+++ b/soaker/checker/limit.go
@@ -38,7 +38,7 @@
 	for _, r := range c.seen.runs {
 		entry := c.seen.sent[r.request].entry
 		learnedAt, ok := learned[entry]
-		if r.endpoint != limit.endpoint || !ok || r.at.Sub(learnedAt) < learnTime || c.seen.isExcused(entry, r.at.Add(-rater.Contact), r.at.Add(rater.Contact)) {
+		if r.endpoint != limit.endpoint || !ok || r.at.Sub(learnedAt) < learnTime || c.seen.excused.hit(entry, r.at.Add(-rater.Contact), r.at.Add(rater.Contact)) {
 			continue
 		}
 		if limit.until.IsZero() || r.at.Before(limit.until) {
--- a/soaker/checker/observation.go
+++ b/soaker/checker/observation.go
@@ -11,7 +11,7 @@
 	// passed lists the responses that entries passed on.
 	passed []passedResponse
 	// excused lists the times at which a fault hit an entry or the link of an endpoint, or ended.
-	excused []excuse
+	excused faults
 }
 
 type sending struct {
@@ -31,12 +31,24 @@
 	at                time.Time
 }
 
-// excuse is a fault of a process of an entry, or of the link of an endpoint.
-type excuse struct {
+// fault is one of a process of an entry, or of the link of an endpoint.
+type fault struct {
 	target string
 	at     time.Time
 }
 
+type faults []fault
+
+// hit reports whether one of the faults hit or left the target from one time to another.
+func (f faults) hit(target string, from, until time.Time) bool {
+	for _, v := range f {
+		if v.target == target && !v.at.Before(from) && !v.at.After(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sent records the process of an entry that a request is sent to.
 func (c *Checker) Sent(now time.Time, requestID, entry string) {
 	c.mu.Lock()
@@ -56,7 +68,7 @@
 func (c *Checker) Excused(now time.Time, target string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seen.excused = append(c.seen.excused, excuse{target, now})
+	c.seen.excused = append(c.seen.excused, fault{target, now})
 }
 
 // learned returns when each process of an entry first passed on a response of an endpoint to a request that arrived
@@ -77,13 +89,3 @@
 	}
 	return learned
 }
-
-// isExcused reports whether a fault hit or left the target from one time to another.
-func (o *observations) isExcused(target string, from, until time.Time) bool {
-	for _, e := range o.excused {
-		if e.target == target && !e.at.Before(from) && !e.at.After(until) {
-			return true
-		}
-	}
-	return false
-}
--- a/soaker/checker/statement.go
+++ b/soaker/checker/statement.go
@@ -69,7 +69,7 @@
 			sent := c.seen.sent[a.request]
 			learnedAt, ok := learned[sent.entry]
 			after := ok && a.endpoint == l.endpoint && sent.at.Sub(learnedAt) > learnTime
-			if !after || (!l.until.IsZero() && !a.at.Before(l.until)) || c.seen.isExcused(sent.entry, learnedAt.Add(-faultTime), a.at) {
+			if !after || (!l.until.IsZero() && !a.at.Before(l.until)) || c.seen.excused.hit(sent.entry, learnedAt.Add(-faultTime), a.at) {
 				continue
 			}
 			c.addViolation("%s got %s, sent to %s %s after that had passed on that the endpoint leaves",
@@ -81,7 +81,7 @@
 // checkPauses adds a violation for each pause in which an endpoint got too many requests.
 func (c *Checker) checkPauses() {
 	for _, p := range c.pauses {
-		if c.seen.isExcused(p.entry, p.from.Add(-faultTime), p.until) || c.seen.isExcused(p.endpoint, p.from.Add(-faultTime), p.until) {
+		if c.seen.excused.hit(p.entry, p.from.Add(-faultTime), p.until) || c.seen.excused.hit(p.endpoint, p.from.Add(-faultTime), p.until) {
 			continue
 		}
 		got := 0
