--- a/core/replicator/transfer_test.go
+++ b/core/replicator/transfer_test.go
@@ -141,14 +141,20 @@
 	assert.Assert(t, checks >= 3 && checks <= 15, "%d", checks)
 }
 
-// TestMemberThatHasTheEntryKeepsItsLog guards against a snapshot that drops entries which the member has acknowledged.
-func TestMemberThatHasTheEntryKeepsItsLog(t *testing.T) {
+// newNetworkWithCommands returns a network of three replicas that have committed a number of commands.
+func newNetworkWithCommands(t *testing.T, commands int) *network {
 	w := newNetwork(t, 3, 5)
 	w.run(4 * time.Second)
-	for i := range 5 {
+	for i := range commands {
 		w.propose(w.leader().ID(), fmt.Sprint("c", i))
 	}
 	w.run(time.Second)
+	return w
+}
+
+// TestMemberThatHasTheEntryKeepsItsLog guards against a snapshot that drops entries which the member has acknowledged.
+func TestMemberThatHasTheEntryKeepsItsLog(t *testing.T) {
+	w := newNetworkWithCommands(t, 5)
 	leader, follower := w.leader(), w.followers()[0]
 	last := follower.LastIndex()
 	follower.commitIndex -= 3 // as after a restart
@@ -163,12 +169,7 @@
 
 // TestMemberThatHasLostItsTailIsBelieved guards against a leader that insists on what a member had on its disk.
 func TestMemberThatHasLostItsTailIsBelieved(t *testing.T) {
-	w := newNetwork(t, 3, 5)
-	w.run(4 * time.Second)
-	for i := range 10 {
-		w.propose(w.leader().ID(), fmt.Sprint("c", i))
-	}
-	w.run(time.Second)
+	w := newNetworkWithCommands(t, 10)
 	leader, follower := w.leader(), w.followers()[0]
 	w.crash(follower.ID())
 	follower.disk.Entries = follower.disk.Entries[:len(follower.disk.Entries)-4]
--- a/entry/dispatcher/endless_test.go
+++ b/entry/dispatcher/endless_test.go
@@ -89,27 +89,13 @@
 
 func newEndlessEndpoint(t *testing.T, first, repeated string, slow bool) *endlessEndpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	e := &endlessEndpoint{address: listener.Addr().String(), first: first, repeated: repeated, slow: slow, closedAt: make(chan time.Time, 1000)}
-	var group sync.WaitGroup
-	t.Cleanup(group.Wait)
-	t.Cleanup(func() { _ = listener.Close() })
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() { e.serve(conn) })
-		}
-	})
+	e := &endlessEndpoint{first: first, repeated: repeated, slow: slow, closedAt: make(chan time.Time, 1000)}
+	e.address = serveConnections(t, e.serve)
 	return e
 }
 
 // serve reads one request on a connection and responds without end.
 func (e *endlessEndpoint) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
--- a/entry/dispatcher/heads_test.go
+++ b/entry/dispatcher/heads_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"runtime"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,11 +28,7 @@
 // TestHeadsOfManyCallsAreBounded guards against an entry that runs out of memory with many calls to endpoints that send long
 // heads and informational responses, and then nothing: all of it is kept until the calls end.
 func TestHeadsOfManyCallsAreBounded(t *testing.T) {
-	const (
-		calls = 100
-		// bytesOfCall is several times the limit of headers, as decoded ones take more.
-		bytesOfCall = 768 << 10
-	)
+	const calls = 100
 	hints := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("L: a\r\n", 9000) + "\r\n"
 	tests := []struct{ name, first string }{
 		{"informational responses", strings.Repeat(hints, 5)},
@@ -45,20 +41,10 @@
 			address := startStalling(t, tt.first, &requests)
 			f := newFixture(t)
 			f.configureKinds(address)
-			runtime.GC()
-			before := heapInUse()
-			var group sync.WaitGroup
-			for range calls {
-				group.Go(func() { f.get(t.Context()) })
-			}
-			most := uint64(0)
-			for end := time.Now().Add(routeDeadline); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				most = max(most, heapInUse())
-			}
-			group.Wait()
-			assert.Assert(t, most <= before+calls*bytesOfCall, "the heap grew by %d bytes", most-before)
+			grown := mostHeap(calls, func(int) { f.get(t.Context()) })
+			assert.Assert(t, grown <= calls*bytesOfAttempt, "the heap grew by %d bytes", grown)
 			assert.Assert(t, requests.Load() >= calls*9/10, "only %d calls reached the endpoint", requests.Load())
-			t.Logf("%d KiB a call", (most-before)/calls>>10)
+			t.Logf("%d KiB a call", grown/calls>>10)
 		})
 	}
 }
@@ -72,32 +58,16 @@
 // startStalling starts an endpoint that sends the same bytes to each request, and then nothing until the caller leaves. It counts
 // the requests.
 func startStalling(t *testing.T, first string, requests *atomic.Int64) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group sync.WaitGroup
-	t.Cleanup(group.Wait)
-	t.Cleanup(func() { _ = listener.Close() })
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				if _, err := reader.ReadString('\n'); err != nil {
-					return
-				}
-				requests.Add(1)
-				if _, err := conn.Write([]byte(first)); err != nil {
-					return
-				}
-				for err == nil { // until the entry closes
-					_, err = reader.ReadByte()
-				}
-			})
+	t.Helper()
+	return serveConnections(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if _, err := reader.ReadString('\n'); err != nil {
+			return
 		}
+		requests.Add(1)
+		if _, err := conn.Write([]byte(first)); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, reader) // until the entry closes
 	})
-	return listener.Addr().String()
 }
--- a/entry/dispatcher/kept_test.go
+++ b/entry/dispatcher/kept_test.go
@@ -41,13 +41,13 @@
 	f.Handle("s", balancer.Reconfigured{Service: service, Endpoints: endpoints, Entries: 1})
 }
 
-// mostHeap returns by how much the heap grew at most while all calls ran.
-func mostHeap(run func(call int)) int64 {
+// mostHeap returns by how much the heap grew at most while all of a number of calls ran.
+func mostHeap(calls int, run func(call int)) int64 {
 	runtime.GC()
 	before := heapInUse()
 	var group sync.WaitGroup
 	done := make(chan struct{})
-	for i := range callsAtOnce {
+	for i := range calls {
 		group.Go(func() { run(i) })
 	}
 	go func() {
@@ -90,7 +90,7 @@
 				}
 				f := newFixture(t)
 				f.configureKinds(addresses...)
-				grown := mostHeap(func(i int) {
+				grown := mostHeap(callsAtOnce, func(i int) {
 					response, err := http.DefaultTransport.RoundTrip(f.request(call.method, call.path, "pack", "Idempotency-Key", fmt.Sprint("k", i)))
 					if err != nil {
 						return // cut off at its deadline
@@ -114,7 +114,7 @@
 			e := newEndlessEndpoint(t, chunked, "400\r\n"+strings.Repeat("b", 0x400)+"\r\n", false)
 			f := newFixture(t)
 			f.configureKinds(e.address)
-			grown := mostHeap(func(int) {
+			grown := mostHeap(callsAtOnce, func(int) {
 				conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
 				if err != nil {
 					return
